--- a/src/main/java/marblelug/Api.java
+++ b/src/main/java/saltstage/Api.java
@@ -1,4 +1,4 @@
-package marblelug;
+package saltstage;
 
 import java.util.List;
 
--- a/src/main/java/marblelug/Logic.java
+++ b/src/main/java/saltstage/Logic.java
@@ -1,11 +1,11 @@
 // The types, events and actions used here are in Api.java, beside this file: read that first.
-package marblelug;
+package saltstage;
 
-import static marblelug.State.*;
+import static saltstage.State.*;
 
 import java.util.*;
-import marblelug.Api.*;
-import marblelug.State.*;
+import saltstage.Api.*;
+import saltstage.State.*;
 
 /** Every decision of one node; single-threaded, its time comes with the events, its chance from the seed. */
 public final class Logic implements Api.Events {
--- a/src/main/java/marblelug/State.java
+++ b/src/main/java/saltstage/State.java
@@ -1,13 +1,13 @@
-package marblelug;
+package saltstage;
 
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import marblelug.Api.Health;
-import marblelug.Api.Request;
-import marblelug.Api.Server;
-import marblelug.Api.ServiceClass;
+import saltstage.Api.Health;
+import saltstage.Api.Request;
+import saltstage.Api.Server;
+import saltstage.Api.ServiceClass;
 
 /** What a node remembers, as plain data; what it decides with them is in {@link Logic}. */
 final class State {
--- a/src/main/java/marblelug/wire/Line.java
+++ b/src/main/java/saltstage/wire/Line.java
@@ -1,4 +1,4 @@
-package marblelug.wire;
+package saltstage.wire;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/marblelug/wire/Main.java
+++ b/src/main/java/saltstage/wire/Main.java
@@ -1,4 +1,4 @@
-package marblelug.wire;
+package saltstage.wire;
 
 import java.io.BufferedReader;
 import java.io.FileDescriptor;
@@ -16,7 +16,7 @@
     /** Exits 0 at the end of input, 1 on malformed input, 2 on a wrong command line. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: marblelug.jar wirehost");
+            System.err.println("usage: saltstage.jar wirehost");
             System.exit(2);
         }
         BufferedReader in =
--- a/src/main/java/marblelug/wire/Malformed.java
+++ b/src/main/java/saltstage/wire/Malformed.java
@@ -1,4 +1,4 @@
-package marblelug.wire;
+package saltstage.wire;
 
 /** Input that is not the wire; its message names the line and the field. */
 final class Malformed extends RuntimeException {
--- a/src/main/java/marblelug/wire/SettingsReader.java
+++ b/src/main/java/saltstage/wire/SettingsReader.java
@@ -1,13 +1,13 @@
-package marblelug.wire;
+package saltstage.wire;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import marblelug.Api.Effect;
-import marblelug.Api.Rules;
-import marblelug.Api.Scope;
-import marblelug.Api.ServiceClass;
-import marblelug.Api.Settings;
+import saltstage.Api.Effect;
+import saltstage.Api.Rules;
+import saltstage.Api.Scope;
+import saltstage.Api.ServiceClass;
+import saltstage.Api.Settings;
 
 /** Reads the settings of a LAUNCH; keys that it does not know are passed over. */
 final class SettingsReader {
--- a/src/main/java/marblelug/wire/WireHost.java
+++ b/src/main/java/saltstage/wire/WireHost.java
@@ -1,4 +1,4 @@
-package marblelug.wire;
+package saltstage.wire;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -7,15 +7,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import marblelug.Api;
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Note;
-import marblelug.Api.Outcome;
-import marblelug.Api.Request;
-import marblelug.Api.Server;
-import marblelug.Api.Settings;
-import marblelug.Logic;
+import saltstage.Api;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Note;
+import saltstage.Api.Outcome;
+import saltstage.Api.Request;
+import saltstage.Api.Server;
+import saltstage.Api.Settings;
+import saltstage.Logic;
 
 /** Reads batches of events, hands them to the instances and writes their actions. */
 final class WireHost {
--- a/src/test/java/marblelug/CeilingTest.java
+++ b/src/test/java/saltstage/CeilingTest.java
@@ -1,4 +1,4 @@
-package marblelug;
+package saltstage;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 class CeilingTest {
-    private static final Path LOGIC = Path.of("src/main/java/marblelug/Logic.java");
+    private static final Path LOGIC = Path.of("src/main/java/saltstage/Logic.java");
 
     @Test
     void logicStaysWithinItsCeiling() throws IOException {
--- a/src/test/java/marblelug/ColdTest.java
+++ b/src/test/java/saltstage/ColdTest.java
@@ -1,14 +1,14 @@
-package marblelug;
+package saltstage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Request;
-import marblelug.Api.Rules;
-import marblelug.Api.Server;
-import marblelug.Api.Settings;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Request;
+import saltstage.Api.Rules;
+import saltstage.Api.Server;
+import saltstage.Api.Settings;
 import org.junit.jupiter.api.Test;
 
 /** Rule 4: s1 has just started and warms up over 1,000 s; s0 is warm and holds 4,000 connections. */
--- a/src/test/java/marblelug/FailureTest.java
+++ b/src/test/java/saltstage/FailureTest.java
@@ -1,4 +1,4 @@
-package marblelug;
+package saltstage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -6,11 +6,11 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Note;
-import marblelug.Api.Outcome;
-import marblelug.Api.Server;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Note;
+import saltstage.Api.Outcome;
+import saltstage.Api.Server;
 import org.junit.jupiter.api.Test;
 
 /** The failures found in simulated service, each as small as it can be shown. */
--- a/src/test/java/marblelug/MechanismTest.java
+++ b/src/test/java/saltstage/MechanismTest.java
@@ -1,4 +1,4 @@
-package marblelug;
+package saltstage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -9,9 +9,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Server;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Server;
 import org.junit.jupiter.api.Test;
 
 class MechanismTest {
--- a/src/test/java/marblelug/Rig.java
+++ b/src/test/java/saltstage/Rig.java
@@ -1,21 +1,21 @@
-package marblelug;
+package saltstage;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import marblelug.Api.Effect;
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Note;
-import marblelug.Api.Outcome;
-import marblelug.Api.Request;
-import marblelug.Api.Rules;
-import marblelug.Api.Scope;
-import marblelug.Api.Server;
-import marblelug.Api.ServiceClass;
-import marblelug.Api.Settings;
+import saltstage.Api.Effect;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Note;
+import saltstage.Api.Outcome;
+import saltstage.Api.Request;
+import saltstage.Api.Rules;
+import saltstage.Api.Scope;
+import saltstage.Api.Server;
+import saltstage.Api.ServiceClass;
+import saltstage.Api.Settings;
 
 /** Drives one node through Api and keeps what it did. */
 final class Rig implements Api.Actions {
--- a/src/test/java/marblelug/RulesTest.java
+++ b/src/test/java/saltstage/RulesTest.java
@@ -1,15 +1,15 @@
-package marblelug;
+package saltstage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import marblelug.Api.Health;
-import marblelug.Api.Listing;
-import marblelug.Api.Outcome;
-import marblelug.Api.Scope;
-import marblelug.Api.Server;
+import saltstage.Api.Health;
+import saltstage.Api.Listing;
+import saltstage.Api.Outcome;
+import saltstage.Api.Scope;
+import saltstage.Api.Server;
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
--- a/src/test/java/marblelug/wire/WireTest.java
+++ b/src/test/java/saltstage/wire/WireTest.java
@@ -1,4 +1,4 @@
-package marblelug.wire;
+package saltstage.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
