--- /dev/null
+++ b/src/main/java/saltstage/lifecycle/Main.java
@@ -0,0 +1,145 @@
+package saltstage.lifecycle;
+
+import java.io.BufferedReader;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
+import saltstage.sim.Malformed;
+import saltstage.sim.WireHost;
+import saltstage.wire.MalformedException;
+
+/** The command line. */
+@Command(name = "saltstage", description = "A relay for long-lived connections.",
+    mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, Main.ShowVersion.class,
+        CommandLine.HelpCommand.class})
+public final class Main implements Callable<Integer> {
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    /** Exits 0 when done, 1 on bad configuration or input, 2 on a wrong command line. */
+    public static void main(String[] args) {
+        System.exit(commandLine().execute(args));
+    }
+
+    private static CommandLine commandLine() {
+        CommandLine line = new CommandLine(new Main());
+        // One plain line, whatever is wrong: picocli would add the whole usage.
+        line.setParameterExceptionHandler((e, args) -> complain(e.getMessage(), USAGE));
+        line.setExecutionExceptionHandler((e, at, all) -> complain(String.valueOf(e.getMessage()), FAILED));
+        return line;
+    }
+
+    private static int complain(String what, int code) {
+        System.err.println("saltstage: " + what.replaceAll("\\s+", " "));
+        return code;
+    }
+
+    @Override
+    public Integer call() {
+        return complain("a sub-command is needed; see 'help'", USAGE);
+    }
+
+    /** The version that the jar was built as. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"saltstage " + (version == null ? "development" : version)};
+        }
+    }
+
+    /** Where the configuration is. */
+    static final class ConfigOption {
+        @Option(names = "--config", description = "the configuration file (default: what GW_CONFIG names)",
+            defaultValue = "${env:GW_CONFIG}")
+        private Path file;
+
+        Configuration read() throws MalformedException {
+            if (file == null || file.toString().isEmpty()) {
+                throw new MalformedException("no configuration: set GW_CONFIG or give --config");
+            }
+            return Configuration.read(file);
+        }
+    }
+
+    /** Serves. */
+    @Command(name = "serve", description = "Runs the relay until SIGTERM.", mixinStandardHelpOptions = true)
+    static final class Serve implements Callable<Integer> {
+        @CommandLine.Mixin
+        private ConfigOption config;
+
+        @Override
+        public Integer call() throws MalformedException, IOException, InterruptedException {
+            Program program = new Program(config.read());
+            program.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                program.drain();
+                Runtime.getRuntime().halt(0); // a planned end is no failure
+            }, "drain"));
+            new CountDownLatch(1).await();
+            return 0;
+        }
+    }
+
+    /** Checks. */
+    @Command(name = "check", description = "Reads the configuration and says whether it is sound.",
+        mixinStandardHelpOptions = true)
+    static final class Check implements Callable<Integer> {
+        @CommandLine.Mixin
+        private ConfigOption config;
+
+        @Override
+        public Integer call() throws MalformedException {
+            Configuration read = config.read();
+            int backends = read.known().targets().size();
+            System.out.println("sound: " + read.name() + ", " + backends + " backends known");
+            return 0;
+        }
+    }
+
+    /** Says the version. */
+    @Command(name = "version", description = "Prints the version.", mixinStandardHelpOptions = true)
+    static final class ShowVersion implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            PrintWriter out = spec.commandLine().getOut();
+            out.println(new Version().getVersion()[0]);
+            out.flush();
+            return 0;
+        }
+    }
+
+    /** The simulator's adapter. */
+    @Command(name = "wirehost", description = "Speaks the simulator's wire on standard input and output.",
+        mixinStandardHelpOptions = true)
+    static final class Wirehost implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            BufferedReader in =
+                new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
+            OutputStreamWriter out =
+                new OutputStreamWriter(new FileOutputStream(FileDescriptor.out), StandardCharsets.UTF_8);
+            try {
+                new WireHost(in, out).run();
+                return 0;
+            } catch (Malformed e) {
+                return complain(e.getMessage(), FAILED);
+            }
+        }
+    }
+}
--- a/src/main/java/saltstage/wire/SettingsReader.java
+++ b/src/main/java/saltstage/lifecycle/SettingsReader.java
@@ -1,4 +1,4 @@
-package saltstage.wire;
+package saltstage.lifecycle;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,20 +9,28 @@
 import saltstage.Api.ServiceClass;
 import saltstage.Api.Settings;
 
-/** Reads the settings of a LAUNCH; keys that it does not know are passed over. */
-final class SettingsReader {
+/** Reads the settings, as path and value, for the module; keys that it does not know are passed over. */
+public final class SettingsReader {
     private final Map<String, String> pairs;
-    private final Line line;
+    private final Complaint complaint;
 
-    SettingsReader(Line line) {
-        this.line = line;
-        pairs = line.pairs();
+    /** Makes the exception that names a key and what is wrong with it. */
+    public interface Complaint {
+        /** The exception to throw. */
+        RuntimeException malformed(String key, String what);
     }
 
-    Settings read() {
+    /** A reader of these pairs. */
+    public SettingsReader(Map<String, String> pairs, Complaint complaint) {
+        this.pairs = pairs;
+        this.complaint = complaint;
+    }
+
+    /** The settings in the module's form. */
+    public Settings read() {
         int classes = (int) whole("Services.count", 0, 0, 10_000);
         if (classes == 0) {
-            throw line.malformed("Services.count", "no classes");
+            throw complaint.malformed("Services.count", "no classes");
         }
         String[] aims = pairs.getOrDefault("FamilyInfo.MessageAim", "").split(",");
         List<ServiceClass> services = new ArrayList<>();
@@ -59,13 +67,13 @@
             case "retryable" -> Effect.SAFE;
             case "dedup" -> Effect.KEYED;
             case "fragile" -> Effect.UNSAFE;
-            default -> throw line.malformed(at + "Effect", "unknown word: " + pairs.get(at + "Effect"));
+            default -> throw complaint.malformed(at + "Effect", "unknown word: " + pairs.get(at + "Effect"));
         };
         Scope scope = switch (pairs.getOrDefault(at + "Group", "all")) {
             case "all" -> Scope.ALL;
             case "zone" -> Scope.ZONE;
             case "cell" -> Scope.CELL;
-            default -> throw line.malformed(at + "Group", "unknown word: " + pairs.get(at + "Group"));
+            default -> throw complaint.malformed(at + "Group", "unknown word: " + pairs.get(at + "Group"));
         };
         return new ServiceClass(aim, giveUp, effect, scope, whole(at + "MemorySpan", 0, 0, Long.MAX_VALUE),
             decimal(at + "Points", 1), messageAim > 0 ? messageAim : aim);
@@ -75,10 +83,10 @@
         String value = pairs.get(key);
         double d = value == null ? absent : parse(key, value);
         if (d == Long.MIN_VALUE) {
-            throw line.malformed(key, "missing");
+            throw complaint.malformed(key, "missing");
         }
         if (value != null && (d < least || d > most)) {
-            throw line.malformed(key, "out of range: " + value);
+            throw complaint.malformed(key, "out of range: " + value);
         }
         return (long) d;
     }
@@ -87,7 +95,7 @@
         String value = pairs.get(key);
         double d = value == null ? absent : parse(key, value);
         if (d < 0) {
-            throw line.malformed(key, "out of range: " + value);
+            throw complaint.malformed(key, "out of range: " + value);
         }
         return d;
     }
@@ -96,11 +104,11 @@
         try {
             double d = Double.parseDouble(value);
             if (!Double.isFinite(d)) {
-                throw line.malformed(key, "out of range: " + value);
+                throw complaint.malformed(key, "out of range: " + value);
             }
             return d;
         } catch (NumberFormatException e) {
-            throw line.malformed(key, "not a number: " + value);
+            throw complaint.malformed(key, "not a number: " + value);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/saltstage/memory/Peers.java
@@ -0,0 +1,60 @@
+package saltstage.memory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import saltstage.wire.HostList;
+
+/** The list of backends as this relay has it. */
+public final class Peers {
+    private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+    private volatile long rev;
+
+    /** The version of the list held. */
+    public long rev() {
+        return rev;
+    }
+
+    /** The backend of this name, or null. */
+    public Peer find(String uid) {
+        return peers.get(uid);
+    }
+
+    /** All that are listed. */
+    public Collection<Peer> all() {
+        return peers.values();
+    }
+
+    /** Takes a list or a change of it; returns the processes that have ended by it. */
+    public synchronized List<Peer> update(HostList list) {
+        rev = list.rev();
+        List<Peer> ended = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        for (HostList.Entry entry : list.targets()) {
+            named.add(entry.uid());
+            Peer held = peers.get(entry.uid());
+            boolean restarted = held != null && !held.entry().startedAt().equals(entry.startedAt());
+            if (held != null && (restarted || entry.state() == HostList.State.GONE)) {
+                peers.remove(entry.uid());
+                ended.add(held);
+            }
+            if (entry.state() != HostList.State.GONE) {
+                peers.computeIfAbsent(entry.uid(), uid -> new Peer(entry)).update(entry);
+            }
+        }
+        if (list.all()) {
+            for (Peer held : List.copyOf(peers.values())) {
+                if (!named.contains(held.entry().uid())) {
+                    peers.remove(held.entry().uid());
+                    ended.add(held);
+                }
+            }
+        }
+        ended.forEach(Peer::end);
+        return ended;
+    }
+}
--- /dev/null
+++ b/src/main/java/saltstage/memory/RequestContext.java
@@ -0,0 +1,115 @@
+package saltstage.memory;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Instant;
+import saltstage.wire.LineConnection;
+import saltstage.wire.OpenLine;
+
+/** A client's request, then the connection it became; it gets exactly one final answer. */
+public final class RequestContext {
+    /** What a client may send before UP; more is not read until then. */
+    private static final int MOST_EARLY = 16 << 10;
+
+    /** WAITING for its final answer, STANDING at a backend, ENDED: answered, left, moved or over. */
+    public enum Phase { WAITING, STANDING, ENDED }
+
+    private final long id;
+    private final OpenLine open;
+    private final Instant deadline;
+    private final ClientConnection client;
+    private Phase phase = Phase.WAITING;
+    private Try current;
+    private int tries;
+    private ByteArrayOutputStream early = new ByteArrayOutputStream(0);
+
+    /** A request that was just taken. */
+    public RequestContext(long id, OpenLine open, Instant deadline, ClientConnection client) {
+        this.id = id;
+        this.open = open;
+        this.deadline = deadline;
+        this.client = client;
+    }
+
+    /** The relay's own number for it. */
+    public long id() {
+        return id;
+    }
+
+    /** The client's first line. */
+    public OpenLine open() {
+        return open;
+    }
+
+    /** When the client gives up. */
+    public Instant deadline() {
+        return deadline;
+    }
+
+    /** The client's side. */
+    public ClientConnection client() {
+        return client;
+    }
+
+    /** How far it has come. */
+    public synchronized Phase phase() {
+        return phase;
+    }
+
+    /** The try that is out or stands, or null. */
+    public synchronized Try current() {
+        return current;
+    }
+
+    /** Begins the next try, or returns null where no answer is owed any more. */
+    public synchronized Try begin(Peer peer, Instant sentAt) {
+        if (phase != Phase.WAITING) {
+            return null;
+        }
+        current = new Try(this, peer, tries++, sentAt);
+        return current;
+    }
+
+    /** The first UP wins: from here on the connection stands. What the client sent early goes on first. */
+    public synchronized boolean stand(LineConnection backend) throws IOException {
+        if (phase != Phase.WAITING) {
+            return false;
+        }
+        if (early.size() > 0) {
+            backend.send(early.toByteArray()); // few bytes on a fresh connection: this does not block
+        }
+        early = null;
+        phase = Phase.STANDING;
+        notifyAll();
+        return true;
+    }
+
+    /** Ends it; true for the one caller that may say how. */
+    public synchronized boolean end(Phase from) {
+        if (phase != from) {
+            return false;
+        }
+        phase = Phase.ENDED;
+        early = null;
+        notifyAll();
+        return true;
+    }
+
+    /** Waits until it has ended. */
+    public synchronized void awaitEnd() throws InterruptedException {
+        while (phase != Phase.ENDED) {
+            wait();
+        }
+    }
+
+    /** Keeps what the client sends before UP; true where it was kept or is of no use any more. */
+    public synchronized boolean keepEarly(byte[] piece) throws InterruptedException {
+        while (phase == Phase.WAITING && early.size() + piece.length > MOST_EARLY) {
+            wait();
+        }
+        if (phase == Phase.WAITING) {
+            early.write(piece, 0, piece.length);
+        }
+        return phase != Phase.STANDING;
+    }
+}
--- a/src/main/java/saltstage/wire/Line.java
+++ b/src/main/java/saltstage/sim/Line.java
@@ -1,4 +1,4 @@
-package saltstage.wire;
+package saltstage.sim;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/saltstage/wire/Malformed.java
+++ b/src/main/java/saltstage/sim/Malformed.java
@@ -1,7 +1,7 @@
-package saltstage.wire;
+package saltstage.sim;
 
 /** Input that is not the wire; its message names the line and the field. */
-final class Malformed extends RuntimeException {
+public final class Malformed extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     Malformed(String message) {
--- a/src/main/java/saltstage/wire/WireHost.java
+++ b/src/main/java/saltstage/sim/WireHost.java
@@ -1,4 +1,4 @@
-package saltstage.wire;
+package saltstage.sim;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -16,9 +16,10 @@
 import saltstage.Api.Server;
 import saltstage.Api.Settings;
 import saltstage.Logic;
+import saltstage.lifecycle.SettingsReader;
 
 /** Reads batches of events, hands them to the instances and writes their actions. */
-final class WireHost {
+public final class WireHost {
     private static final long MOST_KEY = (1L << 53) - 1;
     private static final long MOST_ID = (1L << 32) - 1;
 
@@ -32,13 +33,14 @@
     /** One instance: its settings, for checks, and its decisions. */
     private record Instance(Settings settings, Logic logic) { }
 
-    WireHost(BufferedReader in, Writer out) {
+    /** A host that reads there and replies here. */
+    public WireHost(BufferedReader in, Writer out) {
         this.in = in;
         this.out = out;
     }
 
     /** Runs until the end of input. */
-    void run() throws IOException {
+    public void run() throws IOException {
         for (Line line = next(); line != null; line = next()) {
             if (!line.message.equals("FRAME")) {
                 throw line.malformed("message", "FRAME expected");
@@ -87,7 +89,7 @@
 
     private void dispatch(Line e, int who) throws IOException {
         if (e.message.equals("LAUNCH")) {
-            Settings settings = new SettingsReader(e).read();
+            Settings settings = new SettingsReader(e.pairs(), e::malformed).read();
             long seed = e.number("Salt", Long.MIN_VALUE, Long.MAX_VALUE);
             Logic logic = new Logic(settings, seed, new Sink(who));
             instances.put(who, new Instance(settings, logic));
--- /dev/null
+++ b/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -0,0 +1,97 @@
+package saltstage.wire;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+
+/** Discovery's watch over HTTP/1.1: one call, a chunked answer of one JSON object a line. */
+public final class DiscoveryClient {
+    /** An empty line comes every 2 s; told counts as told after 6 s: silence must be noticed between. */
+    private static final Duration SILENCE = Duration.ofMillis(3_500);
+    private static final Duration CONNECT = Duration.ofSeconds(1);
+    private static final int MOST_HEAD = 16 << 10;
+    private static final int MOST_LINE = 4 << 20;
+
+    private final InetSocketAddress address;
+
+    /** A client of the service at this address. */
+    public DiscoveryClient(InetSocketAddress address) {
+        this.address = address;
+    }
+
+    /** Takes what a watch brings. */
+    public interface Listener {
+        /** A list or a change of it. */
+        void heard(HostList list);
+    }
+
+    /** Watches the changes after a version; it ends by an exception that says why, and by nothing else. */
+    public void watch(long after, Listener listener) throws IOException, MalformedException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, (int) CONNECT.toMillis());
+            socket.setSoTimeout((int) SILENCE.toMillis());
+            String request = "GET /discovery/hosts?watch=1&after=" + after + " HTTP/1.1\r\nHost: "
+                + address.getAddress().getHostAddress() + ":" + address.getPort()
+                + "\r\nAccept: application/json\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = new BufferedInputStream(socket.getInputStream(), 4096);
+            readHead(in);
+            ChunkedInput body = new ChunkedInput(in);
+            StringBuilder line = new StringBuilder();
+            for (int c = body.read(); c >= 0; c = body.read()) {
+                if (c != '\n') {
+                    line.append((char) c);
+                    if (line.length() > MOST_LINE) {
+                        throw new MalformedException("discovery: line too long");
+                    }
+                    continue;
+                }
+                String text = line.toString().trim();
+                line.setLength(0);
+                if (!text.isEmpty()) {
+                    listener.heard(HostList.of(Json.object(text)));
+                }
+            }
+            throw new IOException("discovery ended the watch");
+        }
+    }
+
+    private static void readHead(InputStream in) throws IOException, MalformedException {
+        int[] budget = {MOST_HEAD};
+        String status = headLine(in, budget);
+        if (!status.matches("HTTP/1\\.1 \\d{3}( .*)?")) {
+            throw new MalformedException("discovery: bad status line");
+        }
+        if (!status.startsWith("200", 9)) {
+            throw new IOException("discovery answered " + status.substring(9, 12));
+        }
+        boolean chunked = false;
+        for (String line = headLine(in, budget); !line.isEmpty(); line = headLine(in, budget)) {
+            String lower = line.toLowerCase(Locale.ROOT);
+            chunked |= lower.startsWith("transfer-encoding:") && lower.endsWith("chunked");
+        }
+        if (!chunked) {
+            throw new MalformedException("discovery: the answer to a watch is not chunked");
+        }
+    }
+
+    private static String headLine(InputStream in, int[] budget) throws IOException, MalformedException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                throw new IOException("discovery closed the connection");
+            }
+            if (--budget[0] < 0) {
+                throw new MalformedException("discovery: head too long");
+            }
+            line.append((char) c);
+        }
+        int n = line.length();
+        return n > 0 && line.charAt(n - 1) == '\r' ? line.substring(0, n - 1) : line.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/saltstage/wire/HostList.java
@@ -0,0 +1,84 @@
+package saltstage.wire;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** What discovery says: the whole list, or the entries that changed. */
+public record HostList(long rev, boolean all, List<Entry> targets) {
+    private static final Pattern ENDPOINT =
+        Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
+    private static final Pattern UID = Pattern.compile("[!-~]{1,128}");
+    private static final int MOST_TARGETS = 100_000;
+
+    /** The states of an entry. */
+    public enum State { READY, DRAINING, GONE }
+
+    /** One backend; startedAt is the epoch for long ago. */
+    public record Entry(String uid, InetSocketAddress endpoint, String zone, int cell, State state,
+            double weight, Instant startedAt) { }
+
+    /** Reads one object of discovery's, or the known list of the configuration. */
+    public static HostList of(Map<String, Object> json) throws MalformedException {
+        List<?> targets = Json.member(json, "targets", List.class);
+        if (targets.size() > MOST_TARGETS) {
+            throw new MalformedException("too many targets");
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (Object target : targets) {
+            entries.add(entry(Json.asObject(target, "target")));
+        }
+        return new HostList(Json.member(json, "rev", Double.class).longValue(),
+            Json.member(json, "all", Boolean.class), entries);
+    }
+
+    private static Entry entry(Map<String, Object> json) throws MalformedException {
+        String uid = Json.member(json, "uid", String.class);
+        if (!UID.matcher(uid).matches()) {
+            throw new MalformedException("bad uid");
+        }
+        State state = switch (Json.member(json, "state", String.class)) {
+            case "ready" -> State.READY;
+            case "draining" -> State.DRAINING;
+            case "gone" -> State.GONE;
+            default -> throw new MalformedException("unknown state");
+        };
+        double weight = json.get("capacity_hint") instanceof Double d && d >= 0 ? d : 1;
+        double bootMs = json.get("boot_ms") instanceof Double d && d > 0 ? d : 0;
+        int cell = json.get("pod_group") instanceof Double d ? d.intValue() : 0;
+        return new Entry(uid, address(Json.member(json, "endpoint", String.class)),
+            json.get("az") instanceof String zone ? zone : "", cell, state, weight,
+            Instant.ofEpochMilli((long) bootMs));
+    }
+
+    /** An address in figures; there is no DNS. */
+    public static InetSocketAddress address(String text) throws MalformedException {
+        Matcher parts = ENDPOINT.matcher(text);
+        if (!parts.matches()) {
+            throw new MalformedException("bad address");
+        }
+        byte[] ip = new byte[4];
+        for (int i = 0; i < ip.length; i++) {
+            int octet = Integer.parseInt(parts.group(i + 1));
+            if (octet > 255) {
+                throw new MalformedException("bad address");
+            }
+            ip[i] = (byte) octet;
+        }
+        int port = Integer.parseInt(parts.group(5));
+        if (port > 65_535) {
+            throw new MalformedException("bad port");
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+        } catch (UnknownHostException e) {
+            throw new MalformedException("bad address");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saltstage/wire/LineReader.java
@@ -0,0 +1,94 @@
+package saltstage.wire;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Arrays;
+
+/** Reads lines of bounded length from a socket; what came along with a line is kept for the next call. */
+public final class LineReader {
+    /** The longest line, its end of two bytes not counted. */
+    public static final int MOST = 4096;
+    private static final int MOST_WITH_END = MOST + 2;
+    private static final int FIRST_SIZE = 512; // most lines are short, and a relay holds many readers
+
+    private final Socket socket;
+    private final InputStream in;
+    private byte[] buffer = new byte[FIRST_SIZE];
+    private int start;
+    private volatile int end;
+    private boolean over;
+
+    /** A reader of all that comes from this socket. */
+    public LineReader(Socket socket) throws IOException {
+        this.socket = socket;
+        in = socket.getInputStream();
+    }
+
+    /** The next piece, waiting as long as it takes; see {@link #next(Duration)}. */
+    public byte[] next() throws IOException {
+        return next(null);
+    }
+
+    /**
+     * The next line with its end. A piece without an end is a part of an overlong line, or the rest before
+     * the end of input; null is that end. The time is for the whole line: single bytes do not prolong it.
+     */
+    public byte[] next(Duration limit) throws IOException {
+        long until = limit == null ? 0 : System.nanoTime() + limit.toNanos();
+        int seen = start;
+        while (true) {
+            for (; seen < end; seen++) {
+                if (buffer[seen] == '\n') {
+                    return take(seen + 1);
+                }
+            }
+            if (end - start >= MOST_WITH_END) {
+                return take(start + MOST_WITH_END);
+            }
+            if (over) {
+                return end > start ? take(end) : null;
+            }
+            seen -= start;
+            makeRoom();
+            socket.setSoTimeout(limit == null ? 0 : millisUntil(until));
+            int read = in.read(buffer, end, buffer.length - end);
+            over = read < 0;
+            end += Math.max(0, read);
+        }
+    }
+
+    /** Whether a line has begun and not yet ended. */
+    public boolean midLine() {
+        return end > 0;
+    }
+
+    private static int millisUntil(long until) throws SocketTimeoutException {
+        long left = (until - System.nanoTime() + 999_999) / 1_000_000;
+        if (left <= 0) {
+            throw new SocketTimeoutException("no whole line in time");
+        }
+        return (int) Math.min(left, Integer.MAX_VALUE);
+    }
+
+    private byte[] take(int to) {
+        byte[] piece = Arrays.copyOfRange(buffer, start, to);
+        start = to;
+        if (start == end) {
+            start = 0;
+            end = 0;
+        }
+        return piece;
+    }
+
+    private void makeRoom() {
+        System.arraycopy(buffer, start, buffer, 0, end - start);
+        end -= start;
+        start = 0;
+        if (end == buffer.length) {
+            buffer = Arrays.copyOf(buffer, Math.min(2 * buffer.length, MOST_WITH_END));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saltstage/wire/OpenLine.java
@@ -0,0 +1,120 @@
+package saltstage.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.StringJoiner;
+import java.util.regex.Pattern;
+
+/** A client's first line: {@code OPEN ID KEY c=chat,t=acme,d=2000,...}. */
+public final class OpenLine {
+    private static final Pattern WORD = Pattern.compile("[A-Za-z0-9_.:-]{1,64}");
+    private static final Pattern VALUE = Pattern.compile("[!-~&&[^,=]]{0,128}");
+    private static final int MOST_FIELDS = 64;
+    private static final long MOST_PATIENCE = Duration.ofDays(1).toMillis();
+
+    private final String id;
+    private final String key;
+    private final Map<String, String> fields;
+
+    private OpenLine(String id, String key, Map<String, String> fields) {
+        this.id = id;
+        this.key = key;
+        this.fields = fields;
+    }
+
+    /** Takes the text of a piece that must be a whole line, ended by CRLF. */
+    public static String text(byte[] piece) throws MalformedException {
+        int n = piece.length;
+        if (n < 2 || piece[n - 1] != '\n') {
+            throw new MalformedException(n > LineReader.MOST ? "line too long" : "line without an end");
+        }
+        if (piece[n - 2] != '\r') {
+            throw new MalformedException("line not ended by CRLF");
+        }
+        return new String(piece, 0, n - 2, StandardCharsets.ISO_8859_1);
+    }
+
+    /** Parses the line without its end. */
+    public static OpenLine parse(String line) throws MalformedException {
+        String[] parts = line.split(" ", -1);
+        if (!parts[0].equals("OPEN")) {
+            throw new MalformedException("not an OPEN line");
+        }
+        if (parts.length != 4) {
+            throw new MalformedException("OPEN takes an id, a key and a list of values");
+        }
+        if (!WORD.matcher(parts[1]).matches() || !WORD.matcher(parts[2]).matches()) {
+            throw new MalformedException("bad id or key");
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        for (String field : parts[3].split(",", -1)) {
+            int equals = field.indexOf('=');
+            if (equals < 1 || !WORD.matcher(field.substring(0, equals)).matches()
+                || !VALUE.matcher(field.substring(equals + 1)).matches()) {
+                throw new MalformedException("bad field");
+            }
+            if (fields.put(field.substring(0, equals), field.substring(equals + 1)) != null) {
+                throw new MalformedException("field given twice");
+            }
+            if (fields.size() > MOST_FIELDS) {
+                throw new MalformedException("too many fields");
+            }
+        }
+        OpenLine open = new OpenLine(parts[1], parts[2], fields);
+        open.number("d", 0);
+        open.number("h", 0);
+        return open;
+    }
+
+    /** The connection's id. */
+    public String id() {
+        return id;
+    }
+
+    /** The flow's key. */
+    public String key() {
+        return key;
+    }
+
+    /** A field's value, or null. */
+    public String field(String name) {
+        return fields.get(name);
+    }
+
+    /** Whether a mark such as {@code again=1} is set. */
+    public boolean marked(String name) {
+        return "1".equals(fields.get(name));
+    }
+
+    /** A field that holds a number, rounded down. */
+    public long number(String name, long absent) throws MalformedException {
+        String value = fields.get(name);
+        if (value == null) {
+            return absent;
+        }
+        try {
+            double number = Double.parseDouble(value);
+            if (number >= 0 && number <= Long.MAX_VALUE / 2) {
+                return (long) number;
+            }
+        } catch (NumberFormatException e) {
+            throw new MalformedException("field " + name + " is not a number");
+        }
+        throw new MalformedException("field " + name + " is out of range");
+    }
+
+    /** How long the client waits for UP. */
+    public Duration patience(Duration absent) throws MalformedException {
+        return Duration.ofMillis(Math.min(MOST_PATIENCE, number("d", absent.toMillis())));
+    }
+
+    /** The line as it goes on to a backend: unchanged but for d. */
+    public String withPatience(Duration left) {
+        StringJoiner list = new StringJoiner(",", "OPEN " + id + " " + key + " ", "");
+        fields.forEach((name, value) ->
+            list.add(name + "=" + (name.equals("d") ? Long.toString(Math.max(1, left.toMillis())) : value)));
+        return list.toString();
+    }
+}
--- a/src/test/java/saltstage/wire/WireTest.java
+++ b/src/test/java/saltstage/sim/WireTest.java
@@ -1,4 +1,4 @@
-package saltstage.wire;
+package saltstage.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
