Take small LOAD figures in a one-second rhythm as message delays

Checked: a probe logged every line of the backends and the time from a client's line to the one that came back. The echo took 0.15 ms at all servers, also at the jammed one, so round trips do not show the delay that the module needs (ruled out as the only source).

At fault: Book.heard fed each LOAD figure as a load. The module never heard of the jam, and held the teller for the lightest connection.

--- a/src/main/java/saltstage/stage/Book.java
+++ b/src/main/java/saltstage/stage/Book.java
@@ -143,10 +143,7 @@
     /** A line came back on a standing connection. */
     void heard(Try up, Answer answer) {
         if (answer.kind() == Answer.Kind.LOAD) {
-            double level = answer.load();
-            if (level >= 0) {
-                route.load(up, level);
-            }
+            told(up, answer.load());
             return;
         }
         Instant since = up.takeUnanswered();
@@ -155,6 +152,20 @@
         }
     }
 
+    /**
+     * A told figure. Backends use the one word LOAD for both notes: taken as a load, a message delay of 300
+     * ms would make its connection the lightest of all, and the module would never hear of the jam.
+     */
+    private void told(Try up, double figure) {
+        if (figure < 0) {
+            Log.warn("load.malformed", "peer", up.peer().entry().uid());
+        } else if (up.peer().tellsDelay(figure, clock.now())) {
+            route.delay(up, Duration.ofNanos((long) (figure * 1e6)));
+        } else {
+            route.load(up, figure);
+        }
+    }
+
     /** Once a second: tells the module where messages take long, on one connection each, or no more. */
     void tellDelays() {
         Instant now = clock.now();
