Know long message delays by their part of the second; tests on real processes

Checked: a probe logged every told figure. On one connection of each relay came, all at .36 of the second: 14.2, a second of nothing, 965.9, 1962.1, 1402.0, 948.3, 490.2, 9.7. One real load of 714 was taken as a delay. Ruled out: the measured round trip, which said nothing slow; refusals (two).

Change: memory.Teller. A figure under 10,000 at a delay's part of the second is a delay, whole seconds later too; so is the second of two doubtful ones on a connection a second apart; a first one must be a 20th of the connection's load or less.

--- a/src/main/java/saltstage/lifecycle/Main.java
+++ b/src/main/java/saltstage/lifecycle/Main.java
@@ -83,11 +83,11 @@
         @Override
         public Integer call() throws MalformedException, IOException, InterruptedException {
             Program program = new Program(config.read());
-            program.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 program.drain();
                 Runtime.getRuntime().halt(0); // a planned end is no failure
             }, "drain"));
+            program.start();
             new CountDownLatch(1).await();
             return 0;
         }
--- a/src/main/java/saltstage/memory/Peer.java
+++ b/src/main/java/saltstage/memory/Peer.java
@@ -14,19 +14,14 @@
     private static final int MOST_SAMPLES = 64;
     /** One late line may be the relay's own fault. */
     private static final int LEAST_SAMPLES = 2;
-    private static final double LEAST_LOAD = 1_000; // of 1,000,000 a core; the least seen in 286 was 2,267
-    private static final Duration DELAY_RHYTHM = Duration.ofSeconds(1);
-    private static final Duration RHYTHM_SLACK = Duration.ofMillis(60);
-    private static final double MOST_GROWTH = 4; // from one second to the next: 281, 376, 431, 483 were seen
 
     private volatile HostList.Entry entry;
     private volatile boolean ended;
     private final Set<Try> standing = ConcurrentHashMap.newKeySet();
     private final Duration[] samples = new Duration[MOST_SAMPLES];
+    private final Teller teller = new Teller();
     private int sampled;
     private boolean slow;
-    private Instant delayToldAt = Instant.EPOCH;
-    private double toldDelay;
 
     Peer(HostList.Entry entry) {
         this.entry = entry;
@@ -89,20 +84,9 @@
         return all.isEmpty() ? null : all.get(all.size() / 2);
     }
 
-    /**
-     * Whether a told figure is a message delay in milliseconds, not a load in microseconds of work a second.
-     * A backend tells delays once a second on one connection, from a third of the aim up; no connection asks
-     * for so little as a thousandth of a core. Longer delays are known by the rhythm of those before.
-     */
-    public synchronized boolean tellsDelay(double figure, Instant now) {
-        Duration since = Duration.between(delayToldAt, now);
-        boolean inRhythm = since.minus(DELAY_RHYTHM).abs().compareTo(RHYTHM_SLACK) < 0;
-        boolean delay = figure < LEAST_LOAD || inRhythm && figure < MOST_GROWTH * toldDelay;
-        if (delay) {
-            delayToldAt = now;
-            toldDelay = figure;
-        }
-        return delay;
+    /** Whether a figure told on this connection is a message delay in milliseconds, and not a load. */
+    public synchronized boolean tellsDelay(Try on, double figure, Instant now) {
+        return teller.isDelay(on, figure, now);
     }
 
     /** Remembers whether its messages are slow now; returns whether they were. */
--- a/src/main/java/saltstage/memory/Try.java
+++ b/src/main/java/saltstage/memory/Try.java
@@ -16,6 +16,7 @@
     private volatile String moveReason;
     private volatile boolean clientEnded;
     private volatile boolean writing;
+    private volatile double load = Double.MAX_VALUE;
 
     Try(RequestContext context, Peer peer, int number, Instant sentAt) {
         this.context = context;
@@ -90,6 +91,16 @@
         writing = now;
     }
 
+    /** The load last told of it; endless before the first. */
+    public double load() {
+        return load;
+    }
+
+    /** Its load was told. */
+    public void load(double told) {
+        load = told;
+    }
+
     /** Asks that the client be moved, once; the thread that reads from the backend does it. */
     public synchronized boolean askMove(String reason) {
         if (moveReason != null) {
--- a/src/main/java/saltstage/stage/Book.java
+++ b/src/main/java/saltstage/stage/Book.java
@@ -159,9 +159,10 @@
     private void told(Try up, double figure) {
         if (figure < 0) {
             Log.warn("load.malformed", "peer", up.peer().entry().uid());
-        } else if (up.peer().tellsDelay(figure, clock.now())) {
+        } else if (up.peer().tellsDelay(up, figure, clock.now())) {
             route.delay(up, Duration.ofNanos((long) (figure * 1e6)));
         } else {
+            up.load(figure);
             route.load(up, figure);
         }
     }
--- a/src/main/java/saltstage/stage/Relay.java
+++ b/src/main/java/saltstage/stage/Relay.java
@@ -193,6 +193,8 @@
         if (up.context().phase() != Phase.STANDING || !up.askMove(reason)) {
             return false;
         }
+        Log.info("relay.move", "why", reason, "peer", up.peer().entry().uid(),
+            "id", up.context().open().id());
         LineConnection backend = up.backend();
         if (backend.lines().midLine()) {
             timers.after(PARTIAL_LINE, backend::endReading); // the line may still be ended within that
--- /dev/null
+++ b/src/test/java/saltstage/process/DiscoveryTest.java
@@ -0,0 +1,74 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+
+/** The running program and discovery: one watch, and an old list that still serves. */
+public class DiscoveryTest {
+    private World world;
+    private Service backend;
+    private String ready;
+
+    @Before
+    public void start() throws Exception {
+        world = new World();
+        backend = world.backend();
+        ready = World.target("s-1", backend.endpoint(), "ready");
+    }
+
+    @After
+    public void stop() throws Exception {
+        world.close();
+    }
+
+    @Test
+    public void watchIsResumedAfterWhatWasHeardWhateverEndsIt() throws Exception {
+        world.start(World.list(4, true, ready));
+        Line watch = world.watched("", World.list(5, false));
+        assertTrue(world.logged("watch=1&after=4 "));
+        World.await("the change is taken", () -> world.logged("rev=5"));
+        watch.close();
+        Line refused = world.discovery.accept();
+        assertTrue(refused.hear().contains("after=5 "));
+        refused.say("HTTP/1.1 503 Service Unavailable").say("").close();
+        world.watched("{\"rev\":9,\"all\":tr");
+        world.watched(World.list(6, true, ready));
+        World.await("the list is taken", () -> world.logged("rev=6"));
+        world.stand(backend, world.open("a1", 20_000));
+    }
+
+    @Test
+    public void listThatIsOldStillServesWhileDiscoveryIsDown() throws Exception {
+        world.discovery.close();
+        world.start(World.list(4, true, ready));
+        world.stand(backend, world.open("a1", 20_000));
+    }
+
+    @Test
+    public void requestWaitsForABackendToBeNamed() throws Exception {
+        world.start(World.list(1, true));
+        Line client = world.open("a1", 20_000);
+        world.watched(World.list(2, true, ready));
+        world.stand(backend, client);
+    }
+
+    @Test
+    public void drainingBackendGetsNothingNewAndOneThatVanishesLosesItsClients() throws Exception {
+        Service second = world.backend();
+        world.start(World.list(1, true, ready));
+        Line standing = world.open("a1", 20_000);
+        world.stand(backend, standing);
+        Line watch = world.watched(World.list(2, false, World.target("s-1", backend.endpoint(), "draining"),
+            World.target("s-2", second.endpoint(), "ready")));
+        World.await("the change is taken", () -> world.logged("rev=2"));
+        world.stand(second, world.open("a2", 20_000));
+        World.chunk(watch, World.list(3, false, World.target("s-1", backend.endpoint(), "gone")) + "\n");
+        assertEquals("MOVE", standing.hear());
+    }
+}
--- /dev/null
+++ b/src/test/java/saltstage/process/ServeTest.java
@@ -0,0 +1,182 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+
+/** The running program between clients and backends. */
+public class ServeTest {
+    private World world;
+    private Service backend;
+
+    @Before
+    public void start() throws Exception {
+        world = new World();
+        backend = world.backend();
+        world.start(World.list(1, true, World.target("s-1", backend.endpoint(), "ready")));
+    }
+
+    @After
+    public void stop() throws Exception {
+        world.close();
+    }
+
+    @Test
+    public void upIsPassedOnThenLinesBothWaysAndByeEndsIt() throws Exception {
+        Line client = world.open("a1", 20_000).raw("M 1 sent early\r\nM 2 be");
+        Line side = backend.accept();
+        String first = side.hear();
+        assertTrue(first, first.matches("OPEN a1 7f3a9c21e0b4d655 c=chat,t=acme,d=[1-9]\\d{0,4},g=5c0f6e1a"));
+        side.say("UP 77af");
+        assertEquals("UP 77af", client.hear());
+        client.raw("gun early\r\n");
+        assertEquals("M 1 sent early", side.hear());
+        assertEquals("M 2 begun early", side.hear());
+        side.say("LOAD 41000.5").say("M 1 sent early").say("BYE").close();
+        assertEquals("LOAD 41000.5", client.hear());
+        assertEquals("M 1 sent early", client.hear());
+        assertEquals("BYE", client.hear());
+        assertNull(client.hear());
+    }
+
+    @Test
+    public void badFirstLinesGetOneErrorLineAndNeverReachABackend() throws Exception {
+        String[] bad = {"GET / HTTP/1.1\r\n", "OPEN x\r\n", "OPEN a b c=none,t=acme,d=9\r\n",
+            "OPEN a b c=chat,t=acme,d=9\n", "x".repeat(9_000), "OPEN a b c=chat,t=acme,d=\u0007\r\n"};
+        for (String line : bad) {
+            Line client = world.client().raw(line);
+            String answer = client.hear();
+            assertTrue(line + " got " + answer, answer.startsWith("ERR "));
+            assertNull(client.hear());
+        }
+        assertTrue(backend.nobodyComesFor(100));
+        assertTrue(world.logged("client.malformed"));
+    }
+
+    @Test
+    public void pingIsAnsweredAndMayGoBeforeARequest() throws Exception {
+        Line client = world.client().say("PING");
+        assertEquals("PONG", client.hear());
+        client.say("OPEN p1 k c=chat,t=acme,d=2000");
+        world.stand(backend, client);
+    }
+
+    @Test
+    public void malformedAnswerIsAFailedTryAndTheLastFailureIsAnsweredAtOnce() throws Exception {
+        Line client = world.open("a2", 20_000);
+        Line side = backend.accept();
+        side.hear();
+        side.say("HELLO");
+        assertTrue(client.hear().matches("BUSY 1500"));
+        assertNull(client.hear());
+        assertTrue(world.logged("try.malformed"));
+    }
+
+    @Test
+    public void silentBackendIsGivenUpBeforeTheClientsDeadline() throws Exception {
+        Line client = world.open("a3", 2_500);
+        Line side = backend.accept();
+        side.hear();
+        assertNull("the try is closed", side.hear());
+        assertTrue(client.hear().startsWith("BUSY"));
+    }
+
+    @Test
+    public void clientThatLeavesTakesItsTryWithIt() throws Exception {
+        Line client = world.open("a4", 20_000);
+        Line side = backend.accept();
+        side.hear();
+        client.close();
+        assertNull(side.hear());
+    }
+
+    @Test
+    public void halfCloseAndResetPassToTheOtherSide() throws Exception {
+        Line client = world.open("a5", 20_000);
+        Line side = world.stand(backend, client);
+        client.socket.shutdownOutput();
+        assertNull(side.hear());
+        side.say("BYE").close();
+        assertEquals("BYE", client.hear());
+        assertNull(client.hear());
+
+        Line other = world.open("a6", 20_000);
+        Line broken = world.stand(backend, other);
+        broken.socket.setSoLinger(true, 0);
+        broken.close();
+        assertThrows(IOException.class, other::hear);
+    }
+
+    @Test
+    public void slowReaderStallsNobodyElse() throws Exception {
+        Line slow = world.open("a7", 20_000);
+        Line flood = world.stand(backend, slow);
+        Line other = world.open("a8", 20_000);
+        Line side = world.stand(backend, other);
+        String line = "M " + "y".repeat(4_000);
+        BlockingQueue<Boolean> flooded = World.aside(() -> {
+            for (int i = 0; i < 5_000; i++) {
+                flood.say(line);
+            }
+            return true;
+        });
+        assertNull("the flood meets its reader's limit", flooded.poll(300, TimeUnit.MILLISECONDS));
+        other.say("M 1 hello");
+        assertEquals("M 1 hello", side.hear());
+        side.say("M 1 hello");
+        assertEquals("M 1 hello", other.hear());
+        assertEquals(line, slow.hear());
+    }
+
+    @Test
+    public void terminationMovesStandingClientsBetweenLinesAndTakesWhatStillComes() throws Exception {
+        Line client = world.open("a9", 20_000);
+        Line side = world.stand(backend, client);
+        side.raw("M 1 half a");
+        world.process().toHandle().destroy(); // Process.destroy would close the log too
+        World.await("the drain begins", () -> world.logged("drain.start"));
+        side.raw(" line\r\n");
+        Line late = world.open("b1", 20_000);
+        world.stand(backend, late);
+        assertEquals("M 1 half a line", client.hear());
+        assertEquals("MOVE", client.hear());
+        assertNull(client.hear());
+        assertEquals("MOVE", late.hear());
+        client.close();
+        late.close();
+        assertTrue(world.waitForEnd());
+        assertEquals(0, world.process().exitValue());
+    }
+
+    @Test
+    public void backendThatBringsNothingBackLosesItsClientToAMove() throws Exception {
+        Line client = world.open("b2", 20_000);
+        Line side = world.stand(backend, client);
+        client.say("M 1 anybody");
+        assertEquals("M 1 anybody", side.hear());
+        assertEquals("MOVE", client.hear());
+        assertNull(side.hear());
+        assertFalse(world.logged("ERROR"));
+    }
+
+    @Test
+    public void connectionsFromBeforeTheStartGoBackToTheirBackend() throws Exception {
+        Line client = world.client().say("OPEN c1 k c=chat,t=acme,d=2000,at=s-1");
+        Line refused = backend.accept();
+        refused.close(); // it may fail at first
+        Line side = world.stand(backend, client);
+        side.say("M 1 here");
+        assertEquals("M 1 here", client.hear());
+    }
+}
