--- a/src/main/java/saltstage/memory/RequestContext.java
+++ b/src/main/java/saltstage/memory/RequestContext.java
@@ -20,7 +20,6 @@
     private final ClientConnection client;
     private Phase phase = Phase.WAITING;
     private Try current;
-    private int tries;
     private ByteArrayOutputStream early = new ByteArrayOutputStream(0);
 
     /** A request that was just taken. */
@@ -66,7 +65,7 @@
         if (phase != Phase.WAITING) {
             return null;
         }
-        current = new Try(this, peer, tries++, sentAt);
+        current = new Try(this, peer, sentAt);
         return current;
     }
 
--- a/src/main/java/saltstage/memory/Try.java
+++ b/src/main/java/saltstage/memory/Try.java
@@ -8,7 +8,6 @@
 public final class Try {
     private final RequestContext context;
     private final Peer peer;
-    private final int number;
     private final Instant sentAt;
     private LineConnection backend;
     private boolean givenUp;
@@ -18,10 +17,9 @@
     private volatile boolean writing;
     private volatile double load = Double.MAX_VALUE;
 
-    Try(RequestContext context, Peer peer, int number, Instant sentAt) {
+    Try(RequestContext context, Peer peer, Instant sentAt) {
         this.context = context;
         this.peer = peer;
-        this.number = number;
         this.sentAt = sentAt;
     }
 
@@ -35,11 +33,6 @@
         return peer;
     }
 
-    /** Which of the request's tries, from 0. */
-    public int number() {
-        return number;
-    }
-
     /** When the module sent it. */
     public Instant sentAt() {
         return sentAt;
--- a/src/main/java/saltstage/stage/Route.java
+++ b/src/main/java/saltstage/stage/Route.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import saltstage.Api;
 import saltstage.Api.Health;
 import saltstage.Api.Listing;
@@ -143,11 +144,6 @@
             logic.note(now, standing.context().id(), Note.DELAY, micros(delay) / 1000.0));
     }
 
-    /** How many requests are known to the module. */
-    public int held() {
-        return contexts.size();
-    }
-
     /** All contexts, for the end of the relay. */
     public List<RequestContext> all() {
         return List.copyOf(contexts.values());
@@ -214,7 +210,7 @@
 
     /** Gathers what the module decides within an event. */
     private final class Gatherer implements Api.Actions {
-        private void on(long id, java.util.function.Consumer<RequestContext> effect) {
+        private void on(long id, Consumer<RequestContext> effect) {
             RequestContext context = contexts.get(id);
             if (context != null) {
                 gathered.add(() -> effect.accept(context));
--- a/src/test/java/saltstage/memory/TellerTest.java
+++ b/src/test/java/saltstage/memory/TellerTest.java
@@ -14,7 +14,7 @@
     private final Try light = loaded(2_900);
 
     private static Try loaded(double load) {
-        Try on = new Try(null, null, 0, START);
+        Try on = new Try(null, null, START);
         on.load(load);
         return on;
     }
--- a/src/test/java/saltstage/process/ServeTest.java
+++ b/src/test/java/saltstage/process/ServeTest.java
@@ -64,6 +64,18 @@
         assertTrue(world.logged("client.malformed"));
     }
 
+    @Test
+    public void slowFirstLineIsTimedOutThoughItsBytesTrickle() throws Exception {
+        Line client = world.client();
+        BlockingQueue<String> answer = World.aside(client::hear);
+        String heard = null;
+        for (int i = 0; heard == null && i < 100; i++) {
+            client.raw("O");
+            heard = answer.poll(300, TimeUnit.MILLISECONDS);
+        }
+        assertEquals("ERR first line too slow", heard);
+    }
+
     @Test
     public void pingIsAnsweredAndMayGoBeforeARequest() throws Exception {
         Line client = world.client().say("PING");
