Read the configuration anew on SIGHUP: move the discovery watch at once, keep the rest

Cause: nothing handles SIGHUP, so the JVM's own handler ran the shutdown hook and ended (lifecycle.Main, Serve.call). Ruled out: memory (44 of 144 MB) and descriptors (125 of 384).

Change: Program.reload reads the file, and where discovery moved it stops the old call and watches the new address without the pause that a failed call takes; list, module state and connections stay. A bad file is logged (reload.refused) and changes nothing.

DiscoveryTest fails without the handler (tried).

--- a/src/main/java/saltstage/lifecycle/Configuration.java
+++ b/src/main/java/saltstage/lifecycle/Configuration.java
@@ -106,6 +106,21 @@
         }
     }
 
+    /** What a reload does not change: the parts that need a restart to differ from those in force. */
+    List<String> differsFrom(Configuration inForce) {
+        List<String> parts = new ArrayList<>();
+        if (!listen.equals(inForce.listen)) {
+            parts.add("listen");
+        }
+        if (sockets != inForce.sockets) {
+            parts.add("limits");
+        }
+        if (!pairs.equals(inForce.pairs)) {
+            parts.add("settings");
+        }
+        return parts;
+    }
+
     /** The relay's name. */
     public String name() {
         return name;
--- a/src/main/java/saltstage/lifecycle/Main.java
+++ b/src/main/java/saltstage/lifecycle/Main.java
@@ -18,6 +18,7 @@
 import saltstage.sim.Malformed;
 import saltstage.sim.WireHost;
 import saltstage.wire.MalformedException;
+import sun.misc.Signal;
 
 /** The command line. */
 @Command(name = "saltstage", description = "A relay for long-lived connections.",
@@ -75,7 +76,7 @@
     }
 
     /** Serves. */
-    @Command(name = "serve", description = "Runs the relay until SIGTERM.", mixinStandardHelpOptions = true)
+    @Command(name = "serve", description = "Runs the relay until SIGTERM; SIGHUP reads the configuration anew.", mixinStandardHelpOptions = true)
     static final class Serve implements Callable<Integer> {
         @CommandLine.Mixin
         private ConfigOption config;
@@ -83,6 +84,8 @@
         @Override
         public Integer call() throws MalformedException, IOException, InterruptedException {
             Program program = new Program(config.read());
+            // The JVM's own handler ends the process on SIGHUP: all connections would die with it.
+            Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 program.drain();
                 Runtime.getRuntime().halt(0); // a planned end is no failure
--- a/src/main/java/saltstage/lifecycle/Program.java
+++ b/src/main/java/saltstage/lifecycle/Program.java
@@ -1,8 +1,10 @@
 package saltstage.lifecycle;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.Semaphore;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peers;
@@ -26,13 +28,21 @@
     private final Peers peers = new Peers();
     private final Semaphore watchWanted = new Semaphore(0);
     private final Chain chain;
-    private final DiscoveryClient discovery;
+    private volatile DiscoveryClient discovery;
+    private InetSocketAddress discoveryAddress;
     private int beats;
 
+    /** Where the configuration comes from, at the start and again at each reload. */
+    interface Source {
+        /** Reads it. */
+        Configuration read() throws MalformedException;
+    }
+
     Program(Configuration config) {
         this.config = config;
         chain = new Chain(config, clock, timers, peers, watchWanted::release);
-        discovery = new DiscoveryClient(config.discovery());
+        discoveryAddress = config.discovery();
+        discovery = new DiscoveryClient(discoveryAddress);
     }
 
     /** Starts to serve; clients are heard from the return on. */
@@ -50,6 +60,28 @@
             "rev", peers.rev(), "peers", peers.all().size());
     }
 
+    /**
+     * SIGHUP: reads the configuration anew. Discovery is watched at its new address at once, resumed after
+     * what was heard: the old address may go on answering for a while, but what it does not tell any more
+     * counts as told. The list, the module's state and all connections stay. A bad file changes nothing.
+     */
+    synchronized void reload(Source source) {
+        try {
+            Configuration read = source.read();
+            List<String> later = read.differsFrom(config);
+            if (!read.discovery().equals(discoveryAddress)) {
+                DiscoveryClient old = discovery;
+                discoveryAddress = read.discovery();
+                discovery = new DiscoveryClient(discoveryAddress);
+                old.stop();
+                watchWanted.release();
+            }
+            Log.info("reload.done", "discovery", discoveryAddress, "restart_for", later);
+        } catch (MalformedException | RuntimeException bad) {
+            Log.warn("reload.refused", "why", bad.getMessage());
+        }
+    }
+
     /** SIGTERM: moves all clients and returns when none is left, or when time is up. */
     void drain() {
         new Drain(clock, chain).run();
@@ -71,14 +103,17 @@
     private void watch() throws InterruptedException {
         watchWanted.acquire();
         watchWanted.drainPermits();
+        DiscoveryClient watched = discovery;
         String why = "fault";
         try {
-            discovery.watch(peers.rev(), this::heard);
+            watched.watch(peers.rev(), this::heard);
         } catch (IOException | MalformedException e) {
             why = String.valueOf(e.getMessage());
         } finally {
-            Log.warn("discovery.lost", "why", why, "rev", peers.rev());
-            chain.route().listRefused();
+            if (watched == discovery) { // else a reload ended it: the new address is asked without a pause
+                Log.warn("discovery.lost", "why", why, "rev", peers.rev());
+                chain.route().listRefused();
+            }
         }
     }
 
--- a/src/main/java/saltstage/wire/DiscoveryClient.java
+++ b/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -18,6 +18,8 @@
     private static final int MOST_LINE = 4 << 20;
 
     private final InetSocketAddress address;
+    private Socket call;
+    private boolean stopped;
 
     /** A client of the service at this address. */
     public DiscoveryClient(InetSocketAddress address) {
@@ -30,9 +32,29 @@
         void heard(HostList list);
     }
 
+    /** Ends the watch, also one that is still connecting, and every later one at once. */
+    public synchronized void stop() {
+        stopped = true;
+        if (call != null) {
+            try {
+                call.close();
+            } catch (IOException ended) { // it ended by itself: that is all that is wanted
+                return;
+            }
+        }
+    }
+
+    private synchronized Socket begin() throws IOException {
+        if (stopped) {
+            throw new IOException("stopped");
+        }
+        call = new Socket();
+        return call;
+    }
+
     /** Watches the changes after a version; it ends by an exception that says why, and by nothing else. */
     public void watch(long after, Listener listener) throws IOException, MalformedException {
-        try (Socket socket = new Socket()) {
+        try (Socket socket = begin()) {
             socket.connect(address, (int) CONNECT.toMillis());
             socket.setSoTimeout((int) SILENCE.toMillis());
             String request = "GET /discovery/hosts?watch=1&after=" + after + " HTTP/1.1\r\nHost: "
--- a/src/test/java/saltstage/process/DiscoveryTest.java
+++ b/src/test/java/saltstage/process/DiscoveryTest.java
@@ -1,6 +1,7 @@
 package saltstage.process;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
 import org.junit.After;
@@ -71,4 +72,37 @@
         World.chunk(watch, World.list(3, false, World.target("s-1", backend.endpoint(), "gone")) + "\n");
         assertEquals("MOVE", standing.hear());
     }
+
+    @Test
+    public void reloadMovesTheWatchAtOnceAndKeepsListAndConnections() throws Exception {
+        world.start(World.list(4, true, ready));
+        Line standing = world.open("a1", 20_000);
+        Line side = world.stand(backend, standing);
+        Line old = world.watched(World.list(5, false));
+        World.await("the change is taken", () -> world.logged("rev=5"));
+        Service moved = world.backend();
+        world.reload("{\"name\":\"half a fi");
+        World.await("the bad file is refused", () -> world.logged("reload.refused"));
+        world.reload(world.config(4096, moved, World.list(1, true)));
+        world.watched(moved, World.list(6, false, World.target("s-1", backend.endpoint(), "draining")));
+        assertTrue(world.logged("watch=1&after=5 "));
+        World.await("the change is taken", () -> world.logged("rev=6"));
+        assertNull("the old watch is given up", old.hear());
+        side.say("M 1 still here");
+        assertEquals("M 1 still here", standing.hear());
+    }
+
+    @Test
+    public void terminationDuringAReloadStillMovesClients() throws Exception {
+        world.start(World.list(4, true, ready));
+        Line standing = world.open("a1", 20_000);
+        world.stand(backend, standing);
+        world.reload(world.config(4096, world.backend(), World.list(1, true)));
+        world.process().toHandle().destroy();
+        assertEquals("MOVE", standing.hear());
+        standing.close();
+        World.await("the reload was no end of its own", () -> world.logged("reload.done"));
+        assertTrue(world.waitForEnd());
+        assertEquals(0, world.process().exitValue());
+    }
 }
--- a/src/test/java/saltstage/process/World.java
+++ b/src/test/java/saltstage/process/World.java
@@ -32,6 +32,7 @@
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final int port = freePort();
     private Process process;
+    private Path file;
 
     World() throws IOException {
         toClose.add(discovery);
@@ -125,7 +126,11 @@
     }
 
     String config(int sockets, String known) {
-        return config(port, discovery.endpoint(), sockets, known);
+        return config(sockets, discovery, known);
+    }
+
+    String config(int sockets, Service told, String known) {
+        return config(port, told.endpoint(), sockets, known);
     }
 
     static String config(int port, String discovery, int sockets, String known) {
@@ -144,7 +149,7 @@
     }
 
     World startWith(String config) throws Exception {
-        Path file = Files.createTempFile("saltstage", ".json");
+        file = Files.createTempFile("saltstage", ".json");
         toClose.add(() -> Files.delete(file));
         Files.writeString(file, config);
         process = launch("serve", "--config", file.toString());
@@ -155,6 +160,12 @@
         return this;
     }
 
+    /** Replaces the configuration and tells the relay so. */
+    void reload(String config) throws Exception {
+        Files.writeString(file, config);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
     /** The program with these arguments, standard error merged into its output. */
     static Process launch(String... arguments) throws IOException {
         List<String> command = new ArrayList<>(List.of(
@@ -214,7 +225,11 @@
 
     /** Takes a watch of the relay's and answers it with its head and these objects, one chunk each. */
     Line watched(String... objects) throws IOException {
-        Line watch = discovery.accept();
+        return watched(discovery, objects);
+    }
+
+    Line watched(Service asked, String... objects) throws IOException {
+        Line watch = asked.accept();
         toClose.add(watch);
         String request = watch.hear();
         log.add("asked " + request);
