Give silent and bad clients room of their own, an answer in 2 s and no backend

Causes: Admit.admit counted every connection, silent ones too, against the descriptors (2 * clients > sockets - 64); TakeIn.FIRST_LINE was 5 s; a turned-away client was read line by line for 0.8 s, however much it sent; an id that was open already and several commands at once were sent on (RequestContext kept what came early for the backend). Ruled out: memory (72 of 144 MB), CPU (0.51 of 0.5 core in one second only), the module (refuse stayed at 0).

Change: memory.Doorway holds the connections without a request, in the descriptors that a third for clients and a third for backends leave; when full, the oldest silent one gets BUSY. The first line has 2 s. ids in use, more than one line before the answer, a missing d and odd numbers (NaN, 1e9) get ERR. Who sends on is cut off after 64 KiB.

--- a/src/main/java/saltstage/lifecycle/Drain.java
+++ b/src/main/java/saltstage/lifecycle/Drain.java
@@ -57,7 +57,7 @@
     }
 
     private boolean done() {
-        return since().compareTo(AT_LEAST) > 0 && chain.takeIn().clients() == 0;
+        return since().compareTo(AT_LEAST) > 0 && chain.takeIn().requests() == 0;
     }
 
     /** As many of those that stand as the steps that are left ask for, so that the others are not flooded. */
--- a/src/main/java/saltstage/lifecycle/Main.java
+++ b/src/main/java/saltstage/lifecycle/Main.java
@@ -76,7 +76,8 @@
     }
 
     /** Serves. */
-    @Command(name = "serve", description = "Runs the relay until SIGTERM; SIGHUP reads the configuration anew.", mixinStandardHelpOptions = true)
+    @Command(name = "serve", description = "Runs the relay until SIGTERM; SIGHUP reads the file anew.",
+        mixinStandardHelpOptions = true)
     static final class Serve implements Callable<Integer> {
         @CommandLine.Mixin
         private ConfigOption config;
--- /dev/null
+++ b/src/main/java/saltstage/memory/Doorway.java
@@ -0,0 +1,52 @@
+package saltstage.memory;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The connections that hold no request: those that have not asked yet and those that were turned away. They
+ * have room of their own. Crowds that say nothing would otherwise take the descriptors, threads and memory
+ * of clients that ask; where the room is full, who came first must go, as clients ask as soon as they come.
+ */
+public final class Doorway {
+    /** Of those that have sent something, the thread that reads it is merely late: some are passed over. */
+    private static final int MOST_PASSED_OVER = 16;
+
+    private final int room;
+    private final Set<ClientConnection> inside = new LinkedHashSet<>();
+
+    /** A doorway for so many. */
+    public Doorway(int room) {
+        this.room = room;
+    }
+
+    /** Takes one in; returns the one that has to go for it, or null. */
+    public synchronized ClientConnection enter(ClientConnection client) {
+        ClientConnection out = inside.size() < room ? null : first();
+        inside.remove(out);
+        inside.add(client);
+        return out;
+    }
+
+    private ClientConnection first() {
+        Iterator<ClientConnection> oldest = inside.iterator();
+        for (int i = 0; i < MOST_PASSED_OVER && oldest.hasNext(); i++) {
+            ClientConnection client = oldest.next();
+            if (!client.hasUnread()) {
+                return client;
+            }
+        }
+        return inside.iterator().next();
+    }
+
+    /** It has asked, or is gone; false where it had to go before. */
+    public synchronized boolean leave(ClientConnection client) {
+        return inside.remove(client);
+    }
+
+    /** How many are inside. */
+    public synchronized int size() {
+        return inside.size();
+    }
+}
--- a/src/main/java/saltstage/memory/RequestContext.java
+++ b/src/main/java/saltstage/memory/RequestContext.java
@@ -1,16 +1,10 @@
 package saltstage.memory;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.time.Instant;
-import saltstage.wire.LineConnection;
 import saltstage.wire.OpenLine;
 
 /** A client's request, then the connection it became; it gets exactly one final answer. */
 public final class RequestContext {
-    /** What a client may send before UP; more is not read until then. */
-    private static final int MOST_EARLY = 16 << 10;
-
     /** WAITING for its final answer, STANDING at a backend, ENDED: answered, left, moved or over. */
     public enum Phase { WAITING, STANDING, ENDED }
 
@@ -20,7 +14,6 @@
     private final ClientConnection client;
     private Phase phase = Phase.WAITING;
     private Try current;
-    private ByteArrayOutputStream early = new ByteArrayOutputStream(0);
 
     /** A request that was just taken. */
     public RequestContext(long id, OpenLine open, Instant deadline, ClientConnection client) {
@@ -69,17 +62,12 @@
         return current;
     }
 
-    /** The first UP wins: from here on the connection stands. What the client sent early goes on first. */
-    public synchronized boolean stand(LineConnection backend) throws IOException {
+    /** The first UP wins: from here on the connection stands. */
+    public synchronized boolean stand() {
         if (phase != Phase.WAITING) {
             return false;
         }
-        if (early.size() > 0) {
-            backend.send(early.toByteArray()); // few bytes on a fresh connection: this does not block
-        }
-        early = null;
         phase = Phase.STANDING;
-        notifyAll();
         return true;
     }
 
@@ -89,7 +77,6 @@
             return false;
         }
         phase = Phase.ENDED;
-        early = null;
         notifyAll();
         return true;
     }
@@ -100,15 +87,4 @@
             wait();
         }
     }
-
-    /** Keeps what the client sends before UP; true where it was kept or is of no use any more. */
-    public synchronized boolean keepEarly(byte[] piece) throws InterruptedException {
-        while (phase == Phase.WAITING && early.size() + piece.length > MOST_EARLY) {
-            wait();
-        }
-        if (phase == Phase.WAITING) {
-            early.write(piece, 0, piece.length);
-        }
-        return phase != Phase.STANDING;
-    }
 }
--- a/src/main/java/saltstage/stage/Admit.java
+++ b/src/main/java/saltstage/stage/Admit.java
@@ -1,10 +1,10 @@
 package saltstage.stage;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import saltstage.lifecycle.Configuration;
 import saltstage.lifecycle.Log;
@@ -17,8 +17,11 @@
 
 /** Decides whether the relay itself can take a request: room for sockets, names that the settings know. */
 public final class Admit {
-    /** Descriptors that are not connections: the jar, the listener, discovery, the log. */
-    private static final int RESERVED_SOCKETS = 64;
+    /** Descriptors that are no connections: the jar, the listener, discovery, the log, a reload. */
+    private static final int RESERVED_SOCKETS = 32;
+    /** Each that waits in the doorway has a thread: there is no use in more of them. */
+    private static final int MOST_IN_DOORWAY = 512;
+    private static final int LEAST_IN_DOORWAY = 8;
     /** The answer takes its way back too: the relay's clock must run out before the client's. */
     private static final Duration MARGIN = Duration.ofMillis(15);
     /** A module that has not answered so long after the deadline has lost the request. */
@@ -32,6 +35,7 @@
     private final Send send;
     private final Book book;
     private final AtomicLong ids = new AtomicLong();
+    private final Set<String> open = ConcurrentHashMap.newKeySet();
 
     Admit(Configuration config, MonotonicClock clock, Timers timers, Route route, Send send, Book book) {
         this.config = config;
@@ -42,19 +46,38 @@
         this.book = book;
     }
 
+    /** Room for connections without a request: what a third for clients and as much for backends leaves. */
+    static int doorway(int sockets) {
+        int left = sockets - 2 * (sockets / 3) - RESERVED_SOCKETS;
+        return Math.max(LEAST_IN_DOORWAY, Math.min(MOST_IN_DOORWAY, left));
+    }
+
+    /** Requests that may be held: each takes a client's descriptor and a backend's. */
+    static int requests(int sockets) {
+        return (sockets - RESERVED_SOCKETS - doorway(sockets)) / 2;
+    }
+
     /** Admits a request and has it routed; the context that it became, answered already or not. */
-    RequestContext admit(ClientConnection client, OpenLine open, int clients) throws MalformedException {
+    RequestContext admit(ClientConnection client, OpenLine line) throws MalformedException {
         Instant now = clock.now();
-        int serviceClass = config.serviceClass(open.field("c"));
-        config.tenant(open.field("t"));
-        String at = open.field("at");
-        Duration patience = open.patience(config.giveUp(serviceClass));
+        int serviceClass = config.serviceClass(line.field("c"));
+        config.tenant(line.field("t"));
+        String at = line.field("at");
+        Duration patience = line.patience(config.giveUp(serviceClass));
         Instant deadline = now.plus(at != null ? RESTORE : patience).minus(MARGIN);
-        RequestContext context = new RequestContext(ids.incrementAndGet(), open, deadline, client);
+        if (client.lines().midLine() || client.hasUnread()) {
+            // Several commands at once: the first would stand, and the others would come to its backend.
+            throw new MalformedException(Book.ONE_LINE);
+        }
+        if (!open.add(line.id())) {
+            // Passed on, another's id would be a second copy of that request at a backend.
+            throw new MalformedException("id is in use");
+        }
+        RequestContext context = new RequestContext(ids.incrementAndGet(), line, deadline, client);
         book.taken();
-        if (2L * clients > config.sockets() - RESERVED_SOCKETS) {
-            // Each connection takes two descriptors; the last ones are for those that are already here.
-            Log.warn("admit.full", "clients", clients, "sockets", config.sockets());
+        if (open.size() > requests(config.sockets())) {
+            // The last descriptors are for the backends of those that are already here.
+            Log.warn("admit.full", "requests", open.size(), "sockets", config.sockets());
             book.reject(context, config.longestRetryAfter());
         } else if (at != null) {
             send.restore(context, at);
@@ -65,6 +88,16 @@
         return context;
     }
 
+    /** The request's connection is over: its id may be used anew. */
+    void release(RequestContext context) {
+        open.remove(context.open().id());
+    }
+
+    /** How many requests wait or stand. */
+    int requests() {
+        return open.size();
+    }
+
     private void overdue(RequestContext context) {
         if (context.phase() == RequestContext.Phase.WAITING) {
             Log.warn("request.overdue", "id", context.open().id());
@@ -72,13 +105,13 @@
         }
     }
 
-    /** No thread is left for this client: it is told to come again, by the thread that accepted it. */
-    void turnAway(Socket socket) {
-        try (socket) {
-            String line = "BUSY " + config.longestRetryAfter().toMillis() + "\r\n";
-            socket.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
+    /** There is no room or no thread for this client: it is told to come again, by the accepting thread. */
+    void turnAway(ClientConnection client) {
+        try {
+            client.send("BUSY " + config.longestRetryAfter().toMillis()); // few bytes: this does not block
         } catch (IOException gone) {
             Log.info("client.broken", "why", gone.getMessage());
         }
+        client.close();
     }
 }
--- a/src/main/java/saltstage/stage/Book.java
+++ b/src/main/java/saltstage/stage/Book.java
@@ -21,7 +21,10 @@
 /** Books what became of requests: the one final answer, the outcome for the module, loads and delays. */
 public final class Book {
     /** A close with unread input resets the connection and may take the answer with it. */
-    private static final Duration LINGER = Duration.ofMillis(800);
+    static final Duration LINGER = Duration.ofMillis(800);
+    static final int MOST_IGNORED = 64 << 10;
+    /** What a client is told that says more than its first line before it has its answer. */
+    static final String ONE_LINE = "only one line before the answer";
 
     private final Configuration config;
     private final MonotonicClock clock;
@@ -60,26 +63,35 @@
 
     /** The final answer that promises nothing. */
     void fail(RequestContext context) {
-        if (context.end(Phase.WAITING)) {
-            failed.incrementAndGet();
-            answer(context.client(), "ERR failed");
-            Try out = context.current();
-            if (out != null) {
-                out.giveUp();
-            }
+        fail(context, "failed");
+    }
+
+    /** The client has not waited for its answer: what it asked in that form is nothing a backend may get. */
+    void failEarly(RequestContext context) {
+        if (fail(context, ONE_LINE)) {
+            Log.warn("client.malformed", "from", context.client().remote(), "answer", "ERR " + ONE_LINE);
+            route.left(context);
         }
     }
 
+    private boolean fail(RequestContext context, String why) {
+        if (!context.end(Phase.WAITING)) {
+            return false;
+        }
+        failed.incrementAndGet();
+        answer(context.client(), "ERR " + why);
+        Try out = context.current();
+        if (out != null) {
+            out.giveUp();
+        }
+        return true;
+    }
+
     /** One error line and the end, for a client whose first line is no request. */
-    void turnAway(ClientConnection client, String line) throws IOException {
-        Log.warn("client.malformed", "from", client.remote(), "answer", line);
+    void turnAway(ClientConnection client, String event, String line) throws IOException {
+        Log.warn(event, "from", client.remote(), "answer", line);
         client.send(line);
-        client.endSending();
-        Instant until = clock.now().plus(LINGER);
-        byte[] ignored = new byte[0];
-        while (ignored != null && clock.now().isBefore(until)) { // read away, so that the line arrives
-            ignored = client.lines().next(Duration.between(clock.now(), until));
-        }
+        client.endAnswered(LINGER, MOST_IGNORED);
     }
 
     /** A few bytes on a connection that carried none before: this does not block. */
@@ -97,7 +109,7 @@
     void left(RequestContext context) {
         left.incrementAndGet();
         Try out = context.current();
-        route.left(context, out != null);
+        route.left(context);
         if (out != null) {
             out.giveUp();
         }
@@ -115,8 +127,8 @@
     }
 
     /** The backend said UP; false where the client is past it. */
-    boolean standing(Try up, boolean restored) throws IOException {
-        if (!up.context().stand(up.backend())) {
+    boolean standing(Try up, boolean restored) {
+        if (!up.context().stand()) {
             return false;
         }
         stood.incrementAndGet();
--- a/src/main/java/saltstage/stage/Chain.java
+++ b/src/main/java/saltstage/stage/Chain.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import saltstage.lifecycle.Configuration;
 import saltstage.lifecycle.Log;
+import saltstage.memory.Doorway;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peer;
 import saltstage.memory.Peers;
@@ -30,7 +31,8 @@
         Send send = new Send(config, clock, peers, book, relay);
         route = new Route(config, clock, timers, effects(send, watch));
         book.route(route);
-        takeIn = new TakeIn(new Admit(config, clock, timers, route, send, book), relay, book);
+        Doorway doorway = new Doorway(Admit.doorway(config.sockets()));
+        takeIn = new TakeIn(doorway, new Admit(config, clock, timers, route, send, book), relay, book);
     }
 
     private Route.Effects effects(Send send, Runnable watch) {
--- a/src/main/java/saltstage/stage/Relay.java
+++ b/src/main/java/saltstage/stage/Relay.java
@@ -165,9 +165,6 @@
 
     /** Passes on what the client sent; the thread that reads the backend notices where it takes no more. */
     void toBackend(Try up, byte[] piece) {
-        if (up.context().phase() != Phase.STANDING) {
-            return;
-        }
         try {
             up.asked(clock.now());
             up.backend().send(piece);
--- a/src/main/java/saltstage/stage/Route.java
+++ b/src/main/java/saltstage/stage/Route.java
@@ -126,10 +126,8 @@
     }
 
     /** The client has left before its answer. */
-    public void left(RequestContext context, boolean tryIsOut) {
-        if (!tryIsOut) {
-            contexts.remove(context.id());
-        }
+    public void left(RequestContext context) {
+        contexts.remove(context.id());
         feed((logic, now) -> logic.gone(now, context.id()));
     }
 
--- a/src/main/java/saltstage/stage/Send.java
+++ b/src/main/java/saltstage/stage/Send.java
@@ -93,7 +93,7 @@
         }
     }
 
-    private Outcome judge(Try begun, byte[] piece, boolean restore) throws IOException {
+    private Outcome judge(Try begun, byte[] piece, boolean restore) {
         Answer answer = Answer.of(piece);
         switch (answer.kind()) {
             case UP:
--- a/src/main/java/saltstage/stage/TakeIn.java
+++ b/src/main/java/saltstage/stage/TakeIn.java
@@ -4,9 +4,9 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
 import saltstage.lifecycle.Log;
 import saltstage.memory.ClientConnection;
+import saltstage.memory.Doorway;
 import saltstage.memory.RequestContext;
 import saltstage.memory.Try;
 import saltstage.wire.MalformedException;
@@ -14,16 +14,17 @@
 
 /** Takes clients in: reads the first line, answers PING, turns bad input away, carries what clients send. */
 public final class TakeIn {
-    /** A client that has sent no whole first line by then has nothing to say. */
-    private static final Duration FIRST_LINE = Duration.ofSeconds(5);
+    /** A client that has sent no whole first line by then has nothing to say; 3 s is what it is owed. */
+    private static final Duration FIRST_LINE = Duration.ofSeconds(2);
 
     private final Admit admit;
     private final Relay relay;
     private final Book book;
-    private final AtomicInteger clients = new AtomicInteger();
+    private final Doorway doorway;
     private volatile boolean leaving;
 
-    TakeIn(Admit admit, Relay relay, Book book) {
+    TakeIn(Doorway doorway, Admit admit, Relay relay, Book book) {
+        this.doorway = doorway;
         this.admit = admit;
         this.relay = relay;
         this.book = book;
@@ -35,31 +36,51 @@
     }
 
     /** Takes an accepted socket; never blocks. */
-    public void accept(Socket socket) {
-        clients.incrementAndGet();
-        if (!Threads.start("client", () -> serve(socket))) {
-            clients.decrementAndGet();
-            admit.turnAway(socket);
+    public void accept(Socket socket) throws IOException {
+        ClientConnection client;
+        try {
+            client = new ClientConnection(socket);
+        } catch (IOException reset) { // it left while it waited to be accepted
+            socket.close();
+            return;
+        }
+        ClientConnection out = doorway.enter(client);
+        if (out != null) {
+            Log.warn("doorway.full", "from", out.remote());
+            admit.turnAway(out);
+        }
+        if (!Threads.start("client", () -> serve(client))) {
+            doorway.leave(client);
+            admit.turnAway(client);
         }
     }
 
-    private void serve(Socket socket) throws IOException, InterruptedException {
-        try (socket) {
-            ClientConnection client = new ClientConnection(socket);
-            RequestContext context = firstLine(client);
+    private void serve(ClientConnection client) throws InterruptedException {
+        RequestContext context = null;
+        try {
+            context = firstLine(client);
             if (context != null) {
                 carry(context);
             }
-        } catch (IOException broken) {
-            Log.info("client.broken", "why", broken.getMessage());
+        } catch (IOException gone) {
+            Log.info("client.broken", "why", gone.getMessage());
         } finally {
-            clients.decrementAndGet();
+            client.close();
+            doorway.leave(client);
+            if (context != null) {
+                admit.release(context);
+            }
         }
     }
 
-    /** How many clients are connected. */
+    /** How many clients are connected, with a request and without. */
     public int clients() {
-        return clients.get();
+        return requests() + doorway.size();
+    }
+
+    /** How many requests wait or stand. */
+    public int requests() {
+        return admit.requests();
     }
 
     private RequestContext firstLine(ClientConnection client) throws IOException {
@@ -71,15 +92,20 @@
                 }
                 String line = OpenLine.text(piece);
                 if (!line.equals("PING")) {
-                    return admit.admit(client, OpenLine.parse(line), clients.get());
+                    RequestContext context = admit.admit(client, OpenLine.parse(line));
+                    doorway.leave(client);
+                    return context;
+                }
+                if (client.lines().midLine()) {
+                    throw new MalformedException(Book.ONE_LINE);
                 }
                 client.send(leaving ? "ERR leaving" : "PONG");
             }
         } catch (SocketTimeoutException slow) {
-            book.turnAway(client, "ERR first line too slow");
+            book.turnAway(client, "client.silent", "ERR first line too slow");
         } catch (MalformedException bad) {
             // Bad input must cost one line, be seen in the log and never reach a backend.
-            book.turnAway(client, "ERR " + bad.getMessage());
+            book.turnAway(client, "client.malformed", "ERR " + bad.getMessage());
         }
         return null;
     }
@@ -90,9 +116,14 @@
         try {
             byte[] piece = context.client().lines().next();
             while (piece != null) {
-                if (!context.keepEarly(piece)) {
-                    relay.toBackend(context.current(), piece);
+                if (context.phase() == RequestContext.Phase.WAITING) {
+                    book.failEarly(context); // it has not waited for its answer
+                }
+                if (context.phase() != RequestContext.Phase.STANDING) {
+                    context.client().endAnswered(Book.LINGER, Book.MOST_IGNORED);
+                    return;
                 }
+                relay.toBackend(context.current(), piece);
                 piece = context.client().lines().next();
             }
         } catch (IOException broken) {
--- a/src/main/java/saltstage/wire/LineConnection.java
+++ b/src/main/java/saltstage/wire/LineConnection.java
@@ -35,6 +35,41 @@
         return lines;
     }
 
+    /** Whether something has come that no thread has read yet. */
+    public boolean hasUnread() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException ended) {
+            return false;
+        }
+    }
+
+    /**
+     * Ends politely what was answered: half-closes and reads away what still comes, since a close with unread
+     * input resets the connection and may take the answer with it. Who sends on and on is cut off: to read
+     * it all would cost the one core more than an honest client ever does.
+     */
+    public void endAnswered(Duration most, int mostBytes) {
+        endSending();
+        long until = System.nanoTime() + most.toNanos();
+        byte[] ignored = new byte[4096];
+        try {
+            int read = 0;
+            for (int bytes = 0; read >= 0 && bytes < mostBytes; bytes += read) {
+                long left = (until - System.nanoTime()) / 1_000_000;
+                if (left <= 0) {
+                    break;
+                }
+                socket.setSoTimeout((int) left);
+                read = socket.getInputStream().read(ignored);
+            }
+        } catch (IOException over) { // reset, or silent to the end: nothing more to wait for
+            return;
+        } finally {
+            close();
+        }
+    }
+
     /** Who is at the other end, for the log. */
     public String remote() {
         return String.valueOf(socket.getRemoteSocketAddress());
--- a/src/main/java/saltstage/wire/OpenLine.java
+++ b/src/main/java/saltstage/wire/OpenLine.java
@@ -11,8 +11,11 @@
 public final class OpenLine {
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9_.:-]{1,64}");
     private static final Pattern VALUE = Pattern.compile("[!-~&&[^,=]]{0,128}");
+    /** Figures in plain form; what Java reads as a number beside (NaN, 0x1p3, 9f) is none here. */
+    private static final Pattern FIGURE = Pattern.compile("\\d{1,12}(\\.\\d{1,12})?");
     private static final int MOST_FIELDS = 64;
-    private static final long MOST_PATIENCE = Duration.ofDays(1).toMillis();
+    /** A load that no machine carries would spoil what the module has learnt of loads. */
+    private static final long MOST_LOAD = 1_000_000_000;
 
     private final String id;
     private final String key;
@@ -63,8 +66,13 @@
             }
         }
         OpenLine open = new OpenLine(parts[1], parts[2], fields);
+        if (!fields.containsKey("d") && !fields.containsKey("at")) {
+            throw new MalformedException("field d is missing");
+        }
         open.number("d", 0);
-        open.number("h", 0);
+        if (open.number("h", 0) > MOST_LOAD) {
+            throw new MalformedException("field h is out of range");
+        }
         return open;
     }
 
@@ -94,20 +102,15 @@
         if (value == null) {
             return absent;
         }
-        try {
-            double number = Double.parseDouble(value);
-            if (number >= 0 && number <= Long.MAX_VALUE / 2) {
-                return (long) number;
-            }
-        } catch (NumberFormatException e) {
-            throw new MalformedException("field " + name + " is not a number");
+        if (!FIGURE.matcher(value).matches()) {
+            throw new MalformedException("field " + name + " is not a number, or out of range");
         }
-        throw new MalformedException("field " + name + " is out of range");
+        return (long) Double.parseDouble(value);
     }
 
-    /** How long the client waits for UP. */
-    public Duration patience(Duration absent) throws MalformedException {
-        return Duration.ofMillis(Math.min(MOST_PATIENCE, number("d", absent.toMillis())));
+    /** How long the client waits for UP: at most as long as its class does, whatever it says. */
+    public Duration patience(Duration most) throws MalformedException {
+        return Duration.ofMillis(Math.min(most.toMillis(), number("d", most.toMillis())));
     }
 
     /** The line as it goes on to a backend: unchanged but for d. */
