Be patient with set-ups while most of those asked for have not stood

A probe logged each send with its time-out and outcome; set-ups that stood took 27 to 935 ms. Cause: Logic.patience cuts a try at aim/4 to aim/2; behind a queue each cut try is set-up work wasted and one more in the queue. Ruled out: refusals by the jam (refuse 0.0 then), silent servers (others stood there).

Change: while asked > 2 stood + 5, the figures of the throttle, a try lasts until the client gives up.

--- a/src/main/java/saltstage/Logic.java
+++ b/src/main/java/saltstage/Logic.java
@@ -563,6 +563,8 @@
         double usual = setup.known ? setup.value + 4 * setup.deviation : aim / 2;
         boolean last = c.sends >= set.maxAttempts() || left <= 2 * aim / 3;
         last |= c.service.effect() == Effect.UNSAFE; // an early time-out would only end it
+        // Where set-ups wait wherever they go, each that is given up has only made the queue longer.
+        last |= asked > THROTTLE * stood + THROTTLE_RESERVE;
         return last ? 0 : (long) Math.min(left, Math.max(aim / 4, Math.min(usual, aim / 2)) * c.sends);
     }
 
