Relieve full servers by several moves a probe, and refuse for the fleet later

Cause: Logic.probed and note move one connection a second at most. And where 35% of the heard servers were jammed, the fleet refused, 24% and more, though the mean load asked was 0.5 to 0.7.

Change: at each probe 0.6 of a node's part of the excess is moved, of a jammed server down to 0.8 where the fleet's mean is under 0.7; a moved connection is picked once; jammed from half the servers on, eased 0.06 a period; full from 0.9.

--- a/src/main/java/saltstage/Logic.java
+++ b/src/main/java/saltstage/Logic.java
@@ -39,15 +39,17 @@
     private static final long PROBE_CALM = 3_000_000; // sooner than idle connections are closed
     private static final long PROBE_BUSY = 1_000_000; // reports are refreshed about as often
     private static final double BUSY = 0.7; // load asked over what can be done: from here on it is watched
-    private static final double FULL = 0.95; // and from here on messages come late
+    private static final double FULL = 0.9; // and from here on messages come late
+    private static final double EASED = 0.8; // down to here a jammed one is relieved: what piled up must go
+    private static final double ROOM = 0.7; // of the fleet: a jammed server's clients have where to go
     private static final long PROBE_STEP = 250_000;
-    private static final double RELIEF = 0.3; // of what is too much moved at each probe: reports are late
+    private static final double RELIEF = 0.6; // of what is too much moved at each probe: reports are late
     // Overload
     private static final double SHED = 0.1; // of a server's connections a second, at a delay of the aim
     private static final double SHED_MOST = 4; // times that, at longer delays
-    private static final double JAMMED = 0.35; // share of the servers heard that makes it the fleet's matter
+    private static final double JAMMED = 0.5; // share of the servers heard that makes it the fleet's matter
     private static final double TIGHTEN = 0.12; // more of the demand refused each second of a jammed fleet
-    private static final double EASE = 0.024; // less each other period: a fifth, since jams clear slowly
+    private static final double EASE = 0.06; // less each other period: a fifth, since jams clear slowly
 
     private final Settings set;
     private final Rules rules;
@@ -271,9 +273,9 @@
         }
         h.asked = asked;
         h.askedAt = at;
-        double excess = asked - FULL;
-        if (excess > 0 && refuse < 1 && !h.open.isEmpty()) {
-            double due = RELIEF * excess / asked * h.open.size();
+        double excess = asked - (jammed(h) && fleetAsked() < ROOM ? EASED : FULL);
+        // Each node moves its part of what is too much: one a second would take longer than troubles last.
+        for (double due = RELIEF * excess / asked * h.open.size(); due > 0; due--) {
             if (random.nextDouble() < due) {
                 relieve(h);
             }
@@ -538,14 +540,14 @@
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
-        refuse = Math.min(1, Math.max(0, refuse + (fleetIsJammed(slow, heard) ? TIGHTEN : -EASE)));
+        refuse = Math.min(1, Math.max(0, refuse + (slow > JAMMED * heard || fleetAsked() > FULL ? TIGHTEN : -EASE)));
         highW = all.length == 0 ? 0 : all[(int) (PERCENTILE * (all.length - 1))];
     }
 
-    private boolean fleetIsJammed(int slow, int heard) {
+    /** The mean load asked of the servers that report; unknown where most do not. */
+    private double fleetAsked() {
         double[] asked = members.stream().filter(this::reported).mapToDouble(h -> h.asked).toArray();
-        return asked.length * 2 > members.size() ? Arrays.stream(asked).average().orElse(0) > FULL
-            || slow > JAMMED * heard : slow > JAMMED * heard;
+        return asked.length * 2 > members.size() ? Arrays.stream(asked).average().orElse(0) : Api.NONE;
     }
 
     /** Where a request stands among all, 0 the first to go: by worth, then by key, at all nodes alike. */
@@ -582,11 +584,15 @@
         Call most = null;
         for (Call c : h.open) {
             boolean least = rankOf(c) < refuse;
+            if (c.moving) {
+                continue;
+            }
             if (most == null || (least != rankOf(most) < refuse ? least : c.load > most.load)) {
                 most = c;
             }
         }
         if (most != null && (heavy(h, most) || rankOf(most) < refuse)) {
+            most.moving = true;
             act.move(most.request.id());
         }
     }
--- a/src/main/java/saltstage/State.java
+++ b/src/main/java/saltstage/State.java
@@ -85,6 +85,7 @@
         boolean streaming;
         boolean answered;
         boolean told;
+        boolean moving;
         double load;
         long since;
 
