--- a/src/main/java/saltstage/Logic.java
+++ b/src/main/java/saltstage/Logic.java
@@ -540,7 +540,8 @@
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
-        refuse = Math.min(1, Math.max(0, refuse + (slow > JAMMED * heard || fleetAsked() > FULL ? TIGHTEN : -EASE)));
+        boolean full = slow > JAMMED * heard || fleetAsked() > FULL;
+        refuse = Math.min(1, Math.max(0, refuse + (full ? TIGHTEN : -EASE)));
         highW = all.length == 0 ? 0 : all[(int) (PERCENTILE * (all.length - 1))];
     }
 
