Drain: serve clients on and move them in the last two seconds before the end

Cause: lifecycle.Drain moved from 0.2 s on (MOVES_FROM); and its times held for a longest deadline of 3 s only. Ruled out: requests lost in the drain (none), standing at the end (0).

Change: moves begin 2 s before the longest deadline's end (3 s at most), still spread evenly. ServeTest checks that a client is served on for a second; it fails with the old times.

--- a/src/main/java/saltstage/lifecycle/Configuration.java
+++ b/src/main/java/saltstage/lifecycle/Configuration.java
@@ -185,6 +185,11 @@
         return span(settings.classes().get(serviceClass).giveUp());
     }
 
+    /** How long any client waits at most. */
+    public Duration longestGiveUp() {
+        return span(settings.classes().stream().mapToLong(ServiceClass::giveUp).max().orElse(0));
+    }
+
     /** How long a connect may take. */
     public Duration connectTimeout() {
         return span(settings.connectTimeout());
--- a/src/main/java/saltstage/lifecycle/Drain.java
+++ b/src/main/java/saltstage/lifecycle/Drain.java
@@ -8,15 +8,15 @@
 import saltstage.stage.Chain;
 
 /**
- * The end after SIGTERM. SIGKILL comes 3.7 s later at the earliest: new clients are taken as before, the
- * standing ones are moved a few at a time until 2.6 s, what still waits is rejected at 3 s, and all is over
- * at 3.5 s.
+ * The end after SIGTERM. SIGKILL comes 0.7 s after the longest deadline at the earliest, which counts as 3 s
+ * where it is longer. New clients are taken as before; those that stand are moved a few at a time in the last
+ * two seconds: one that is moved sooner has nowhere to go where the other relay is only just starting. What
+ * still waits is rejected when the last have been moved, and all is over 0.2 s before SIGKILL.
  */
 final class Drain {
-    private static final Duration MOVES_FROM = Duration.ofMillis(200);
-    private static final Duration MOVES_UNTIL = Duration.ofMillis(2_600);
-    private static final Duration REJECT_AT = Duration.ofMillis(3_000);
-    private static final Duration OVER = Duration.ofMillis(3_500);
+    private static final Duration MOST_DEADLINE = Duration.ofSeconds(3);
+    private static final Duration MOVES = Duration.ofSeconds(2);
+    private static final Duration AFTER_MOVES = Duration.ofMillis(500);
     /** New clients come for up to 0.4 s more; the front then sends them elsewhere. */
     private static final Duration AT_LEAST = Duration.ofMillis(900);
     private static final Duration STEP = Duration.ofMillis(50);
@@ -24,11 +24,17 @@
     private final MonotonicClock clock;
     private final Chain chain;
     private final Instant start;
+    private final Duration movesFrom;
+    private final Duration movesUntil;
+    private final Duration over;
 
-    Drain(MonotonicClock clock, Chain chain) {
+    Drain(MonotonicClock clock, Chain chain, Duration longestDeadline) {
         this.clock = clock;
         this.chain = chain;
         start = clock.now();
+        movesUntil = longestDeadline.compareTo(MOST_DEADLINE) < 0 ? longestDeadline : MOST_DEADLINE;
+        movesFrom = movesUntil.compareTo(MOVES) < 0 ? Duration.ZERO : movesUntil.minus(MOVES);
+        over = movesUntil.plus(AFTER_MOVES);
     }
 
     void run() {
@@ -37,9 +43,9 @@
         chain.takeIn().leave();
         try {
             boolean rejected = false;
-            while (since().compareTo(OVER) < 0 && !done()) {
+            while (since().compareTo(over) < 0 && !done()) {
                 moveSome();
-                if (!rejected && since().compareTo(REJECT_AT) >= 0) {
+                if (!rejected && since().compareTo(movesUntil) >= 0) {
                     chain.rejectWaiting();
                     rejected = true;
                 }
@@ -62,8 +68,8 @@
 
     /** As many of those that stand as the steps that are left ask for, so that the others are not flooded. */
     private void moveSome() {
-        long left = MOVES_UNTIL.minus(since()).toMillis();
-        if (since().compareTo(MOVES_FROM) < 0) {
+        long left = movesUntil.minus(since()).toMillis();
+        if (since().compareTo(movesFrom) < 0) {
             return;
         }
         List<Try> standing = List.copyOf(chain.relay().standing());
--- a/src/main/java/saltstage/lifecycle/Program.java
+++ b/src/main/java/saltstage/lifecycle/Program.java
@@ -84,7 +84,7 @@
 
     /** SIGTERM: moves all clients and returns when none is left, or when time is up. */
     void drain() {
-        new Drain(clock, chain).run();
+        new Drain(clock, chain, config.longestGiveUp()).run();
     }
 
     private void beat() {
--- a/src/test/java/saltstage/process/ServeTest.java
+++ b/src/test/java/saltstage/process/ServeTest.java
@@ -175,6 +175,19 @@
         assertEquals(0, world.process().exitValue());
     }
 
+    @Test
+    public void clientsAreServedOnForAWhileAfterTerminationBeforeTheyAreMoved() throws Exception {
+        Line client = world.open("a9", 20_000);
+        Line side = world.stand(backend, client);
+        long before = System.nanoTime();
+        world.process().toHandle().destroy();
+        World.await("the drain begins", () -> world.logged("drain.start"));
+        side.say("M 1 still served");
+        assertEquals("M 1 still served", client.hear());
+        assertEquals("MOVE", client.hear());
+        assertTrue("a second at least", System.nanoTime() - before >= 1_000_000_000L);
+    }
+
     @Test
     public void backendThatBringsNothingBackLosesItsClientToAMove() throws Exception {
         Line client = world.open("b2", 20_000);
