Split into the modules relay and lab; configuration and log get packages of their own

Need: what runs in service and what tries it must not share a jar, and stage imported lifecycle, a cycle. Change: a root aggregator, relay/ and lab/, bin/ scripts that start the built jars from any folder, packages config and log below stage, lifecycle on top and imported by nothing. Measured: the 97 tests and the smoke test pass unchanged in 48 s.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # CONFIG names the configuration file, as GW_CONFIG does in service.
 run: build
-	java -jar target/saltstage.jar serve --config "$(CONFIG)"
+	bin/saltstage serve --config "$(CONFIG)"
 
 clean:
 	mvn -B -q clean
--- a/src/main/java/saltstage/lifecycle/Configuration.java
+++ b/relay/src/main/java/saltstage/config/Configuration.java
@@ -1,4 +1,4 @@
-package saltstage.lifecycle;
+package saltstage.config;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -107,7 +107,7 @@
     }
 
     /** What a reload does not change: the parts that need a restart to differ from those in force. */
-    List<String> differsFrom(Configuration inForce) {
+    public List<String> differsFrom(Configuration inForce) {
         List<String> parts = new ArrayList<>();
         if (!listen.equals(inForce.listen)) {
             parts.add("listen");
--- a/src/main/java/saltstage/lifecycle/SettingsReader.java
+++ b/relay/src/main/java/saltstage/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package saltstage.lifecycle;
+package saltstage.config;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Try;
 import saltstage.stage.Chain;
--- a/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
+import saltstage.config.Configuration;
 import saltstage.sim.Malformed;
 import saltstage.sim.WireHost;
 import saltstage.wire.MalformedException;
--- a/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -7,6 +7,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import saltstage.config.Configuration;
+import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peers;
 import saltstage.memory.Timers;
--- a/src/main/java/saltstage/lifecycle/Log.java
+++ b/relay/src/main/java/saltstage/log/Log.java
@@ -1,4 +1,4 @@
-package saltstage.lifecycle;
+package saltstage.log;
 
 import java.io.PrintStream;
 import java.time.Instant;
--- a/src/main/java/saltstage/sim/WireHost.java
+++ b/relay/src/main/java/saltstage/sim/WireHost.java
@@ -16,7 +16,7 @@
 import saltstage.Api.Server;
 import saltstage.Api.Settings;
 import saltstage.Logic;
-import saltstage.lifecycle.SettingsReader;
+import saltstage.config.SettingsReader;
 
 /** Reads batches of events, hands them to the instances and writes their actions. */
 public final class WireHost {
--- a/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
-import saltstage.lifecycle.Configuration;
-import saltstage.lifecycle.Log;
+import saltstage.config.Configuration;
+import saltstage.log.Log;
 import saltstage.memory.Doorway;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peer;
--- a/src/main/java/saltstage/stage/Probe.java
+++ b/relay/src/main/java/saltstage/stage/Probe.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import saltstage.Api;
 import saltstage.Api.Outcome;
-import saltstage.lifecycle.Log;
+import saltstage.log.Log;
 import saltstage.memory.Peer;
 import saltstage.memory.Peers;
 import saltstage.wire.LineConnection;
--- a/src/main/java/saltstage/stage/Relay.java
+++ b/relay/src/main/java/saltstage/stage/Relay.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import saltstage.Api.Outcome;
-import saltstage.lifecycle.Log;
+import saltstage.log.Log;
 import saltstage.memory.ClientConnection;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peer;
--- a/src/main/java/saltstage/stage/TakeIn.java
+++ b/relay/src/main/java/saltstage/stage/TakeIn.java
@@ -4,7 +4,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
-import saltstage.lifecycle.Log;
+import saltstage.log.Log;
 import saltstage.memory.ClientConnection;
 import saltstage.memory.Doorway;
 import saltstage.memory.RequestContext;
--- a/src/main/java/saltstage/stage/Threads.java
+++ b/relay/src/main/java/saltstage/stage/Threads.java
@@ -1,6 +1,6 @@
 package saltstage.stage;
 
-import saltstage.lifecycle.Log;
+import saltstage.log.Log;
 
 /** Platform threads with small stacks; none of them ends the relay, or ends unseen. */
 public final class Threads {
