Log over SLF4J and Logback, read the operator's settings from HCL, archive the classes

Need: later parts are set in a file of the operator's own, and logs must be read by machines too. hcl4j's public parser forgets positions, carries an HTTP client and drops an unclosed block in silence; its lexer alone is used, and every token of the file is counted against what it read. Logback is set up in code.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,13 @@
-# Build, test, lint and run saltstage.
-.PHONY: build test lint run clean
+# Build, test, lint, run and show saltstage.
+.PHONY: demo build test lint run clean
+
+# The relay at work in front of stand-in gateways: nothing but Java and Maven is needed.
+demo: build
+	bin/lab demo
 
 build:
 	mvn -B -q -DskipTests package
+	bin/archive
 
 test:
 	mvn -B verify
@@ -10,9 +15,9 @@
 lint:
 	mvn -B -q checkstyle:check@default
 
-# CONFIG names the configuration file, as GW_CONFIG does in service.
+# CONFIG names the configuration file, as GW_CONFIG does in service; SETTINGS the operator's own, if any.
 run: build
-	bin/saltstage serve --config "$(CONFIG)"
+	bin/saltstage serve --config "$(CONFIG)" $(if $(SETTINGS),--settings "$(SETTINGS)")
 
 clean:
 	mvn -B -q clean
--- /dev/null
+++ b/relay/src/main/java/saltstage/config/HclBlock.java
@@ -0,0 +1,213 @@
+package saltstage.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import saltstage.wire.MalformedException;
+
+/**
+ * One block of an operator's file. Its attributes are asked for by name, each checked where it is asked for;
+ * {@link #finish} then refuses whatever nobody has asked for. Every complaint names file, line and name.
+ */
+final class HclBlock {
+    private static final Pattern SPAN = Pattern.compile("(\\d{1,9})(ms|s|m|h|d)");
+    private static final Pattern SIZE = Pattern.compile("(\\d{1,12})(B|KiB|MiB|GiB)?");
+
+    private record Given(Object value, int line) { }
+
+    private final String file;
+    private final String type;
+    private final List<String> labels;
+    private final int line;
+    private final Map<String, Given> attributes = new LinkedHashMap<>();
+    private final List<HclBlock> blocks = new ArrayList<>();
+    private final Set<String> asked = new HashSet<>();
+
+    HclBlock(String file, String type, List<String> labels, int line) {
+        this.file = file;
+        this.type = type;
+        this.labels = List.copyOf(labels);
+        this.line = line;
+    }
+
+    void put(String name, Object value, int at) throws MalformedException {
+        if (!HclFile.isWord(name)) {
+            throw at(at, "'" + name + "' is no name");
+        }
+        if (attributes.put(name, new Given(value, at)) != null) {
+            throw at(at, "'" + name + "' is given twice");
+        }
+    }
+
+    void add(HclBlock inner) {
+        blocks.add(inner);
+    }
+
+    List<String> labels() {
+        return labels;
+    }
+
+    /** All inner blocks of a type, in order. */
+    List<HclBlock> all(String name) {
+        asked.add("block " + name);
+        return blocks.stream().filter(inner -> inner.type.equals(name)).toList();
+    }
+
+    /** The one inner block of a type, without labels, or null. */
+    HclBlock one(String name) throws MalformedException {
+        List<HclBlock> found = all(name);
+        if (found.size() > 1) {
+            throw found.get(1).complaint("'" + name + "' is given twice");
+        }
+        if (!found.isEmpty() && !found.get(0).labels.isEmpty()) {
+            throw found.get(0).complaint("'" + name + "' takes no label");
+        }
+        return found.isEmpty() ? null : found.get(0);
+    }
+
+    /** A text; null where it is absent and nothing stands for it. */
+    String text(String name, String absent) throws MalformedException {
+        Given given = take(name);
+        if (given == null) {
+            return absent;
+        }
+        if (!(given.value() instanceof String text) || text.isBlank()) {
+            throw at(given.line(), "'" + name + "' takes a text");
+        }
+        return text;
+    }
+
+    /** A text that must be there. */
+    String need(String name) throws MalformedException {
+        String text = text(name, null);
+        if (text == null) {
+            throw complaint("'" + name + "' is missing");
+        }
+        return text;
+    }
+
+    /** One of the constants of an enum, written in small letters. */
+    <E extends Enum<E>> E word(String name, Class<E> of, E absent) throws MalformedException {
+        String text = text(name, null);
+        if (text == null) {
+            return absent;
+        }
+        for (E constant : of.getEnumConstants()) {
+            if (constant.name().toLowerCase(Locale.ROOT).equals(text)) {
+                return constant;
+            }
+        }
+        throw wrong(name, "one of " + Arrays.toString(of.getEnumConstants()).toLowerCase(Locale.ROOT));
+    }
+
+    /** A whole number within bounds. */
+    long whole(String name, long absent, long least, long most) throws MalformedException {
+        Given given = take(name);
+        if (given == null) {
+            return absent;
+        }
+        if (!(given.value() instanceof Double d) || d != Math.rint(d) || d < least || d > most) {
+            throw at(given.line(), "'" + name + "' takes a whole number from " + least + " to " + most);
+        }
+        return d.longValue();
+    }
+
+    /** Yes or no. */
+    boolean flag(String name, boolean absent) throws MalformedException {
+        Given given = take(name);
+        if (given == null) {
+            return absent;
+        }
+        if (!(given.value() instanceof Boolean b)) {
+            throw at(given.line(), "'" + name + "' takes true or false");
+        }
+        return b;
+    }
+
+    /** A span such as "250ms", "10s", "5m", "24h" or "30d" within bounds. */
+    Duration span(String name, Duration absent, Duration least, Duration most) throws MalformedException {
+        String text = text(name, null);
+        if (text == null) {
+            return absent;
+        }
+        Matcher parts = SPAN.matcher(text);
+        if (parts.matches()) {
+            long n = Long.parseLong(parts.group(1));
+            Duration span = switch (parts.group(2)) {
+                case "ms" -> Duration.ofMillis(n);
+                case "s" -> Duration.ofSeconds(n);
+                case "m" -> Duration.ofMinutes(n);
+                case "h" -> Duration.ofHours(n);
+                default -> Duration.ofDays(n);
+            };
+            if (span.compareTo(least) >= 0 && span.compareTo(most) <= 0) {
+                return span;
+            }
+        }
+        throw wrong(name, "a span such as \"250ms\", \"10s\" or \"24h\", from " + least.toMillis() + " ms to "
+            + most.toMillis() + " ms");
+    }
+
+    /** A size in bytes such as "64KiB" or "8MiB" within bounds. */
+    long size(String name, long absent, long least, long most) throws MalformedException {
+        String text = text(name, null);
+        if (text == null) {
+            return absent;
+        }
+        Matcher parts = SIZE.matcher(text);
+        if (parts.matches()) {
+            int shift = switch (parts.group(2) == null ? "B" : parts.group(2)) {
+                case "KiB" -> 10;
+                case "MiB" -> 20;
+                case "GiB" -> 30;
+                default -> 0;
+            };
+            long n = Long.parseLong(parts.group(1));
+            if (n <= Long.MAX_VALUE >> shift && n << shift >= least && n << shift <= most) {
+                return n << shift;
+            }
+        }
+        throw wrong(name, "a size such as \"64KiB\" or \"8MiB\", from " + least + " to " + most + " bytes");
+    }
+
+    /** Refuses what nobody has asked for. */
+    void finish() throws MalformedException {
+        for (Map.Entry<String, Given> given : attributes.entrySet()) {
+            if (!asked.contains(given.getKey())) {
+                throw at(given.getValue().line(), "unknown attribute '" + given.getKey() + "'");
+            }
+        }
+        for (HclBlock inner : blocks) {
+            if (!asked.contains("block " + inner.type)) {
+                throw inner.complaint("unknown block '" + inner.type + "'");
+            }
+        }
+    }
+
+    /** A complaint about this block as a whole. */
+    MalformedException complaint(String what) {
+        return at(line, what);
+    }
+
+    /** A complaint about an attribute that was taken. */
+    MalformedException wrong(String name, String takes) {
+        return at(attributes.get(name).line(), "'" + name + "' takes " + takes);
+    }
+
+    private Given take(String name) {
+        asked.add(name);
+        return attributes.get(name);
+    }
+
+    private MalformedException at(int where, String what) {
+        return new MalformedException(file + ":" + where + ": " + (type.isEmpty() ? "" : type + ": ") + what);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/saltstage/config/HclFile.java
@@ -0,0 +1,178 @@
+package saltstage.config;
+
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
+import com.bertramlabs.plugins.hcl4j.HclSymbols;
+import com.bertramlabs.plugins.hcl4j.symbols.HCLArray;
+import com.bertramlabs.plugins.hcl4j.symbols.HCLAttribute;
+import com.bertramlabs.plugins.hcl4j.symbols.HCLBlock;
+import com.bertramlabs.plugins.hcl4j.symbols.HCLValue;
+import com.bertramlabs.plugins.hcl4j.symbols.Symbol;
+import java.io.IOException;
+import java.io.StreamTokenizer;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import saltstage.wire.MalformedException;
+
+/**
+ * Reads an operator's HCL file into {@link HclBlock}s. The text is parsed by hcl4j, which drops in silence
+ * what it cannot place: a block that is never closed, stray words, a lone brace. So every token of the file
+ * is counted against what the library made of it, and the first that is not accounted for is refused with
+ * its line. Only plain values are taken: no functions, variables, templates or here-documents.
+ */
+final class HclFile {
+    private static final Pattern WHERE = Pattern.compile("line: (\\d+)");
+    private static final Pattern WORD = Pattern.compile("[A-Za-z_][A-Za-z0-9_-]*");
+    private static final Pattern NUMBER = Pattern.compile("-?\\d{1,15}(\\.\\d{1,9})?");
+    private static final int MOST_BYTES = 1 << 20;
+
+    private record Token(String text, int line) { }
+
+    private final String name;
+    private final List<String> read = new ArrayList<>();
+
+    private HclFile(String name) {
+        this.name = name;
+    }
+
+    /** Parses the text of a file that errors shall call by this name; the block returned is its top level. */
+    static HclBlock parse(String name, String text) throws MalformedException {
+        return new HclFile(name).top(text);
+    }
+
+    private HclBlock top(String text) throws MalformedException {
+        if (text.length() > MOST_BYTES) {
+            throw new MalformedException(name + ": settings file too large");
+        }
+        List<Symbol> symbols;
+        try {
+            symbols = HclSymbols.read(new StringReader(text));
+        } catch (HCLParserException bad) {
+            Matcher where = WHERE.matcher(String.valueOf(bad.getMessage()));
+            throw at(where.find() ? Integer.parseInt(where.group(1)) : 1, "not HCL");
+        } catch (IOException | RuntimeException | Error bad) { // JFlex throws Error on what it cannot match
+            throw new MalformedException(name + ": not HCL: " + bad.getMessage());
+        }
+        HclBlock top = new HclBlock(name, "", List.of(), 1);
+        for (Symbol symbol : symbols) {
+            add(top, symbol);
+        }
+        account(text);
+        return top;
+    }
+
+    private MalformedException at(int line, String what) {
+        return new MalformedException(name + ":" + line + ": " + what);
+    }
+
+    private static int line(Symbol symbol) {
+        return symbol.getLine() + 1; // the library counts from 0
+    }
+
+    private void add(HclBlock into, Symbol symbol) throws MalformedException {
+        if (symbol instanceof HCLAttribute) {
+            read.add(symbol.getName());
+            read.add("=");
+            List<Symbol> values = children(symbol);
+            if (values.size() != 1) {
+                throw at(line(symbol), "'" + symbol.getName() + "' has no plain value");
+            }
+            into.put(symbol.getName(), value(symbol.getName(), values.get(0)), line(symbol));
+        } else if (symbol instanceof HCLBlock block) {
+            read.addAll(block.blockNames);
+            HclBlock inner = new HclBlock(name, block.blockNames.get(0),
+                block.blockNames.subList(1, block.blockNames.size()), line(symbol));
+            read.add("{");
+            for (Symbol child : children(symbol)) {
+                add(inner, child);
+            }
+            read.add("}");
+            into.add(inner);
+        } else {
+            throw at(line(symbol), "only blocks and attributes can stand here");
+        }
+    }
+
+    private Object value(String of, Symbol symbol) throws MalformedException {
+        if (symbol instanceof HCLArray) {
+            List<Object> items = new ArrayList<>();
+            read.add("[");
+            for (Symbol child : children(symbol)) {
+                items.add(value(of, child));
+            }
+            read.add("]");
+            return items;
+        }
+        if (!(symbol instanceof HCLValue plain) || plain.value == null) {
+            throw at(line(symbol),
+                "'" + of + "' takes plain values only: texts, numbers, true, false, lists");
+        }
+        String text = plain.value.toString();
+        read.add(text);
+        return switch (plain.type) {
+            case "string" -> text;
+            case "boolean" -> Boolean.valueOf(text);
+            case "number" -> {
+                if (!NUMBER.matcher(text).matches()) {
+                    throw at(line(symbol), "'" + of + "': not a number: " + text);
+                }
+                yield Double.valueOf(text);
+            }
+            default -> throw at(line(symbol), "'" + of + "' has no plain value");
+        };
+    }
+
+    private static List<Symbol> children(Symbol symbol) {
+        return symbol.getChildren() == null ? List.of() : symbol.getChildren();
+    }
+
+    /** Refuses the first token of the text that is not in what was read. */
+    private void account(String text) throws MalformedException {
+        Iterator<String> known = read.iterator();
+        int last = 1;
+        for (Token token : tokens(text)) {
+            last = token.line();
+            if (!known.hasNext() || !known.next().equals(token.text())) {
+                throw at(token.line(), "'" + token.text() + "' cannot stand here");
+            }
+        }
+        if (known.hasNext()) {
+            throw at(last, "the file ends early");
+        }
+    }
+
+    private static List<Token> tokens(String text) {
+        StreamTokenizer in = new StreamTokenizer(new StringReader(text));
+        in.resetSyntax();
+        in.whitespaceChars(0, ' ');
+        in.whitespaceChars(',', ','); // between the items of a list
+        in.wordChars('a', 'z');
+        in.wordChars('A', 'Z');
+        in.wordChars('0', '9');
+        in.wordChars('_', '_');
+        in.wordChars('-', '-');
+        in.wordChars('.', '.');
+        in.quoteChar('"');
+        in.commentChar('#');
+        in.slashSlashComments(true);
+        in.slashStarComments(true);
+        List<Token> all = new ArrayList<>();
+        try {
+            while (in.nextToken() != StreamTokenizer.TT_EOF) {
+                boolean single = in.ttype != StreamTokenizer.TT_WORD && in.ttype != '"';
+                all.add(new Token(single ? String.valueOf((char) in.ttype) : in.sval, in.lineno()));
+            }
+        } catch (IOException impossible) { // it reads a string
+            throw new IllegalStateException(impossible);
+        }
+        return all;
+    }
+
+    /** Whether a name can be an attribute's or a block's. */
+    static boolean isWord(String text) {
+        return WORD.matcher(text).matches();
+    }
+}
--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -16,6 +16,8 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import saltstage.config.Configuration;
+import saltstage.config.OperatorSettings;
+import saltstage.log.LogSetup;
 import saltstage.sim.Malformed;
 import saltstage.sim.WireHost;
 import saltstage.wire.MalformedException;
@@ -68,14 +70,29 @@
             defaultValue = "${env:GW_CONFIG}")
         private Path file;
 
+        boolean given() {
+            return file != null && !file.toString().isEmpty();
+        }
+
         Configuration read() throws MalformedException {
-            if (file == null || file.toString().isEmpty()) {
+            if (!given()) {
                 throw new MalformedException("no configuration: set GW_CONFIG or give --config");
             }
             return Configuration.read(file);
         }
     }
 
+    /** Where the operator's settings are, if there are any. */
+    static final class SettingsOption {
+        @Option(names = "--settings", paramLabel = "FILE",
+            description = "the operator's settings in HCL (default: none; all as on the platform)")
+        private Path file;
+
+        OperatorSettings read() throws MalformedException {
+            return file == null ? OperatorSettings.none() : OperatorSettings.read(file);
+        }
+    }
+
     /** Serves. */
     @Command(name = "serve", description = "Runs the relay until SIGTERM; SIGHUP reads the file anew.",
         mixinStandardHelpOptions = true)
@@ -83,11 +100,16 @@
         @CommandLine.Mixin
         private ConfigOption config;
 
+        @CommandLine.Mixin
+        private SettingsOption settings;
+
         @Override
         public Integer call() throws MalformedException, IOException, InterruptedException {
+            OperatorSettings chosen = settings.read();
+            LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
             Program program = new Program(config.read());
             // The JVM's own handler ends the process on SIGHUP: all connections would die with it.
-            Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read));
+            Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read, settings::read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 program.drain();
                 Runtime.getRuntime().halt(0); // a planned end is no failure
@@ -105,11 +127,21 @@
         @CommandLine.Mixin
         private ConfigOption config;
 
+        @CommandLine.Mixin
+        private SettingsOption settings;
+
         @Override
         public Integer call() throws MalformedException {
-            Configuration read = config.read();
-            int backends = read.known().targets().size();
-            System.out.println("sound: " + read.name() + ", " + backends + " backends known");
+            boolean both = config.given() || settings.file == null;
+            if (settings.file != null) {
+                settings.read();
+                System.out.println("sound: settings " + settings.file);
+            }
+            if (both) {
+                Configuration read = config.read();
+                int backends = read.known().targets().size();
+                System.out.println("sound: " + read.name() + ", " + backends + " backends known");
+            }
             return 0;
         }
     }
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import saltstage.config.Configuration;
+import saltstage.config.OperatorSettings;
 import saltstage.log.Log;
+import saltstage.log.LogSetup;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peers;
 import saltstage.memory.Timers;
@@ -43,6 +45,12 @@
         Configuration read() throws MalformedException;
     }
 
+    /** Where the operator's settings come from, at each reload. */
+    interface SettingsSource {
+        /** Reads them. */
+        OperatorSettings read() throws MalformedException;
+    }
+
     Program(Configuration config) {
         this.config = config;
         chain = new Chain(config, clock, timers, peers, watchWanted::release);
@@ -73,8 +81,9 @@
      * what was heard: the old address may go on answering for a while, but what it does not tell any more
      * counts as told. The list, the module's state and all connections stay. A bad file changes nothing.
      */
-    synchronized void reload(Source source) {
+    synchronized void reload(Source source, SettingsSource operator) {
         try {
+            OperatorSettings chosen = operator.read();
             Configuration read = source.read();
             List<String> later = read.differsFrom(config);
             if (!read.discovery().equals(discoveryAddress)) {
@@ -84,6 +93,7 @@
                 old.stop();
                 watchWanted.release();
             }
+            LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
             Log.info("reload.done", "discovery", discoveryAddress, "restart_for", later);
         } catch (MalformedException | RuntimeException bad) {
             Log.warn("reload.refused", "why", bad.getMessage());
--- /dev/null
+++ b/relay/src/main/java/saltstage/log/EventAppender.java
@@ -0,0 +1,56 @@
+package saltstage.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.joran.spi.ConsoleTarget;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * Standard error with a bound: no event fills the log. More lines of one event within a second than the
+ * bound are counted, not written, and the count is told with the first line after that second.
+ */
+final class EventAppender extends ConsoleAppender<ILoggingEvent> {
+    static final int MOST_A_SECOND = 20;
+
+    private final Map<String, int[]> written = new HashMap<>();
+    private long second;
+
+    EventAppender() {
+        setTarget(ConsoleTarget.SystemErr.getName());
+    }
+
+    @Override
+    protected void append(ILoggingEvent event) {
+        synchronized (written) {
+            long now = Math.floorDiv(event.getTimeStamp(), 1000L);
+            if (now != second) {
+                second = now;
+                Map<String, int[]> before = Map.copyOf(written);
+                written.clear();
+                before.forEach((name, count) -> {
+                    if (count[0] > MOST_A_SECOND) {
+                        super.append(suppressed(event, name, count[0] - MOST_A_SECOND));
+                    }
+                });
+            }
+            if (++written.computeIfAbsent(event.getMessage(), name -> new int[1])[0] > MOST_A_SECOND) {
+                return;
+            }
+            super.append(event);
+        }
+    }
+
+    private ILoggingEvent suppressed(ILoggingEvent at, String event, int lines) {
+        Logger logger = ((LoggerContext) getContext()).getLogger(at.getLoggerName());
+        LoggingEvent told = new LoggingEvent(null, logger, Level.WARN, "log.suppressed", null, null);
+        told.setKeyValuePairs(List.of(new KeyValuePair("event", event), new KeyValuePair("lines", lines)));
+        return told;
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
@@ -0,0 +1,82 @@
+package saltstage.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import saltstage.log.LogSetup;
+import saltstage.wire.MalformedException;
+
+/** The operator's file: what it says holds, and nothing in it is passed over. */
+class OperatorSettingsTest {
+    @Test
+    void takesWhatIsNamedAndLeavesTheRest() throws MalformedException {
+        OperatorSettings read = OperatorSettings.of("f.hcl", "# note\nlog {\n  format = \"json\" // x\n}\n"
+            + "store {\n  dir = \"/d \\\" e\" /* y */\n  segment = \"64KiB\"\n  learnt_for = \"24h\"\n}\n");
+        assertEquals(LogSetup.Format.JSON, read.logging().format());
+        assertEquals(OperatorSettings.Level.INFO, read.logging().level());
+        OperatorSettings.Keeping keeping = read.keeping().orElseThrow();
+        assertEquals(Path.of("/d \" e"), keeping.dir());
+        assertEquals(64 << 10, keeping.segmentBytes());
+        assertEquals(Duration.ofDays(1), keeping.learntFor());
+        assertEquals(50, keeping.configurations());
+        assertTrue(OperatorSettings.of("f.hcl", "").keeping().isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "log { colour = 1 }                   | f.hcl:1: log: unknown attribute 'colour'",
+        "log {}^^lag {}                       | f.hcl:3: lag: unknown block 'lag'",
+        "log {^ format = \"xml\"^}            | f.hcl:2: log: 'format' takes one of [text, json]",
+        "log {^ format = 3^}                  | f.hcl:2: log: 'format' takes a text",
+        "log {}^log {}                        | f.hcl:2: log: 'log' is given twice",
+        "log \"a\" {}                         | f.hcl:1: log: 'log' takes no label",
+        "log {^ level = \"info\"^ level = \"warn\"^} | f.hcl:3: log: 'level' is given twice",
+        "store {^}                            | f.hcl:1: store: 'dir' is missing",
+        "store {^ dir = \"d\"^ configurations = 1^} "
+            + "| f.hcl:3: store: 'configurations' takes a whole number from 2 to 10000",
+        "store {^ dir = \"d\"^ configurations = 2.5^} "
+            + "| f.hcl:3: store: 'configurations' takes a whole number from 2 to 10000",
+        "log {^ level = \"info\"              | f.hcl:1: 'log' cannot stand here",
+        "log {^}^}                            | f.hcl:3: '}' cannot stand here",
+        "@@                                   | f.hcl:1: '@' cannot stand here",
+        "^= 3                                 | f.hcl:2: '=' cannot stand here",
+        "log {^ level = file(\"x\")^}         | f.hcl:2: 'level' takes plain values only: texts, numbers, "
+            + "true, false, lists",
+        "log {^ level = \"${x}\"^}            | f.hcl:2: 'level' takes plain values only: texts, numbers, "
+            + "true, false, lists",
+        "log {^ level = 5m^}                  | f.hcl:2: 'level' has no plain value",
+        "log {^ level = ^}                    | f.hcl:2: 'level' has no plain value",
+        "log {^ level = \"info^}              | f.hcl:2: not HCL"})
+    void refusesWithFileLineAndName(String text, String complaint) {
+        MalformedException refused = assertThrows(MalformedException.class,
+            () -> OperatorSettings.of("f.hcl", text.replace('^', '\n')));
+        assertEquals(complaint, refused.getMessage());
+    }
+
+    @Test
+    void spansAndSizesHaveBounds() {
+        for (String bad : new String[] {"every = \"1ms\"", "every = \"2 s\"", "every = 2",
+            "segment = \"1KiB\"", "segment = \"9999999GiB\"", "compaction_rate = \"-1\""}) {
+            MalformedException refused = assertThrows(MalformedException.class,
+                () -> OperatorSettings.of("f", "store {\n dir = \"d\"\n " + bad + "\n}\n"));
+            assertTrue(refused.getMessage().startsWith("f:3: store: '" + bad.split(" ")[0] + "' takes "),
+                refused.getMessage());
+        }
+    }
+
+    @Test
+    void theExampleIsSound() throws Exception {
+        Path example = Path.of("..", "deploy", "saltstage.hcl");
+        assertTrue(OperatorSettings.read(example).keeping().isEmpty());
+        String uncommented = Files.readString(example).replaceAll("(?m)^# (?=store|  |\\})", "");
+        assertEquals("/var/lib/saltstage",
+            OperatorSettings.of("example", uncommented).keeping().orElseThrow().dir().toString());
+    }
+}
