Begin the lab: stand-in fleet, clients, a demo and a start-up measurement

Need: nobody could see the relay work without a platform's configuration. lab fleet runs discovery and gateways on loopback and takes commands; make demo builds, serves 300 clients, drains a gateway and cleans up.

--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/Home.java
@@ -0,0 +1,62 @@
+package saltstage.lab;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+
+/** Where the built relay is, and how it is met. */
+public final class Home {
+    private Home() {
+    }
+
+    /** The root of the repository: bin/lab names it. */
+    public static Path root() {
+        String home = System.getenv("SALTSTAGE_HOME");
+        return Path.of(home == null ? "." : home).toAbsolutePath().normalize();
+    }
+
+    /** The script that starts the relay. */
+    public static Path relay() {
+        return root().resolve("bin/saltstage");
+    }
+
+    /** The service jar. */
+    public static Path jar() {
+        return root().resolve("relay/target/saltstage.jar");
+    }
+
+    /** Waits until the relay at this address answers PING with PONG; returns how long it took. */
+    public static Duration awaitPong(InetSocketAddress at, Process relay, Duration most)
+            throws IOException, InterruptedException {
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < most.toNanos()) {
+            if (!relay.isAlive()) {
+                throw new IOException("the relay ended with " + relay.exitValue());
+            }
+            try (Socket socket = new Socket()) {
+                socket.connect(at, 500);
+                socket.setSoTimeout(2_000);
+                socket.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                String answer = new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1)).readLine();
+                if ("PONG".equals(answer)) {
+                    return Duration.ofNanos(System.nanoTime() - start);
+                }
+            } catch (IOException notYet) {
+                Thread.sleep(2);
+            }
+        }
+        throw new IOException("the relay did not answer PING within " + most.toMillis() + " ms");
+    }
+
+    /** The folder where measurements are kept. */
+    public static Path measurements() throws IOException {
+        return Files.createDirectories(root().resolve("docs/measurements"));
+    }
+}
--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -3,11 +3,14 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import saltstage.lab.fleet.DemoCommand;
+import saltstage.lab.fleet.FleetCommand;
+import saltstage.lab.measure.StartupCommand;
 
 /** The laboratory's command line. */
 @Command(name = "lab", description = "Stand-ins, load and measurements for saltstage; never in service.",
     mixinStandardHelpOptions = true,
-    subcommands = {CommandLine.HelpCommand.class})
+    subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
     static final int USAGE = 2;
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/fleet/DemoCommand.java
@@ -0,0 +1,85 @@
+package saltstage.lab.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.lab.Home;
+
+/** The relay at work, for someone who has never seen it. */
+@Command(name = "demo", mixinStandardHelpOptions = true, description = {
+    "Starts a fleet, the built relay and some hundred clients, shows what is served each second,",
+    "drains a gateway on the way, and ends everything. Exits 1 if a client was cut off."})
+public final class DemoCommand implements Callable<Integer> {
+    @Option(names = "--gateways", defaultValue = "4", description = "stand-in gateways (default 4)")
+    private int gateways;
+
+    @Option(names = "--clients", defaultValue = "300", description = "clients (default 300)")
+    private int clients;
+
+    @Option(names = "--seconds", defaultValue = "15", description = "how long (default 15)")
+    private int seconds;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Path dir = Files.createTempDirectory("saltstage-demo");
+        Process relay = null;
+        try {
+            Fleet fleet = new Fleet(gateways);
+            fleet.writeFiles(dir, "log {\n  level = \"warn\"\n}\n");
+            relay = new ProcessBuilder(Home.relay().toString(), "serve", "--config",
+                dir.resolve("config.json").toString(), "--settings", dir.resolve("saltstage.hcl").toString())
+                .redirectError(dir.resolve("log").toFile()).start();
+            String[] at = fleet.listen().split(":");
+            InetSocketAddress address = new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+            Home.awaitPong(address, relay, Duration.ofSeconds(30));
+            System.out.println("relay at " + fleet.listen() + ", " + gateways + " gateways, " + clients
+                + " clients; the log is " + dir.resolve("log") + " until the end");
+            Clients all = new Clients(address, clients, Duration.ofMillis(500), Duration.ofSeconds(20));
+            show(fleet, all);
+            long cut = all.cut();
+            System.out.println("served " + fleet.gateways().stream().mapToLong(Gateway::served).sum()
+                + " connections, moved " + all.moved() + ", cut off " + cut);
+            all.end();
+            return cut == 0 ? 0 : 1;
+        } finally {
+            end(relay, dir);
+        }
+    }
+
+    private void show(Fleet fleet, Clients all) throws IOException, InterruptedException {
+        System.out.println("  s " + Clients.HEAD + "  at the gateways");
+        for (int second = 1; second <= seconds; second++) {
+            Thread.sleep(1_000);
+            System.out.printf("%3d %s  %s%n", second, all.row(), fleet.command("status"));
+            if (second == seconds / 2) {
+                System.out.println("    g0 drains: its clients are to be moved, none cut off");
+                fleet.command("drain g0");
+            }
+        }
+    }
+
+    private static void end(Process relay, Path dir) throws IOException, InterruptedException {
+        if (relay != null) {
+            relay.destroy();
+            if (!relay.waitFor(10, TimeUnit.SECONDS)) {
+                relay.destroyForcibly().waitFor();
+            }
+        }
+        List<Path> files;
+        try (Stream<Path> below = Files.walk(dir)) {
+            files = below.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path file : files) {
+            Files.delete(file);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/fleet/FleetCommand.java
@@ -0,0 +1,50 @@
+package saltstage.lab.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** A fleet of stand-ins that a relay can be started in front of. */
+@Command(name = "fleet", mixinStandardHelpOptions = true,
+    description = {"Runs discovery and stand-in gateways on loopback and writes DIR/config.json and",
+        "DIR/saltstage.hcl; then: bin/saltstage serve --config DIR/config.json --settings DIR/saltstage.hcl"},
+    footer = {"", "On standard input: drain G, kill G, stop G, start G, slow G MS, status, quit.",
+        "Ends with 0 at quit or at the end of input."})
+public final class FleetCommand implements Callable<Integer> {
+    /** What the gateways speak. */
+    public enum Protocol { lines }
+
+    @Parameters(paramLabel = "DIR", description = "where the two files go; made if it is not there")
+    private Path dir;
+
+    @Option(names = "--protocol", defaultValue = "lines", description = "lines (default)")
+    private Protocol protocol;
+
+    @Option(names = "--gateways", paramLabel = "N", defaultValue = "4", description = "how many (default 4)")
+    private int gateways;
+
+    @Override
+    public Integer call() throws IOException {
+        if (gateways < 1 || gateways > 1_000) {
+            throw new IllegalArgumentException("--gateways takes 1 to 1000");
+        }
+        Fleet fleet = new Fleet(gateways);
+        fleet.writeFiles(dir, "log {\n  format = \"text\"\n}\n");
+        System.out.println("ready");
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            String answer = fleet.command(line);
+            if (answer == null) {
+                break;
+            }
+            System.out.println(answer);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/fleet/Gateway.java
@@ -0,0 +1,226 @@
+package saltstage.lab.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A stand-in for a gateway on loopback: takes OPEN lines, answers UP, echoes what clients say, tells its load
+ * when it is probed. It can drain (BUSY for newcomers, clients sent away one by one), be killed (resets and
+ * refuses), fall silent as a frozen machine does, and answer late.
+ */
+public final class Gateway {
+    /** What it is doing. */
+    public enum State { READY, DRAINING, SILENT, DEAD }
+
+    private static final int BACKLOG = 512;
+    private static final int ROOM = 200;
+    private static final Duration SEND_AWAY = Duration.ofMillis(50);
+
+    private final String uid;
+    private final String zone;
+    private final InetSocketAddress address;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> standing = ConcurrentHashMap.newKeySet();
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicLong refused = new AtomicLong();
+    private volatile ServerSocket listener;
+    private volatile State state = State.READY;
+    private volatile Duration delay = Duration.ZERO;
+    private volatile long bootMs;
+
+    /** A gateway that listens on a free port from the return on. */
+    public Gateway(String uid, String zone) throws IOException {
+        this.uid = uid;
+        this.zone = zone;
+        listener = listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        address = (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    private ServerSocket listen(InetSocketAddress at) throws IOException {
+        ServerSocket heard = new ServerSocket();
+        heard.setReuseAddress(true);
+        heard.bind(at, BACKLOG);
+        daemon(uid + " accepts", () -> acceptAll(heard));
+        return heard;
+    }
+
+    static void daemon(String name, Runnable work) {
+        Thread thread = new Thread(null, work, name, 256 << 10);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void acceptAll(ServerSocket heard) {
+        try {
+            while (true) {
+                Socket socket = heard.accept();
+                open.add(socket);
+                daemon(uid, () -> serve(socket));
+            }
+        } catch (IOException closed) { // it was killed
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            BufferedReader in = new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1), 1024);
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                pause();
+                String answer = answer(socket, line);
+                socket.getOutputStream().write((answer + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                if (!answer.startsWith("UP") && line.startsWith("OPEN ")) {
+                    return;
+                }
+            }
+        } catch (IOException gone) { // the relay left, or this gateway was killed
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            standing.remove(socket);
+            open.remove(socket);
+        }
+    }
+
+    private void pause() throws InterruptedException {
+        Thread.sleep(delay.toMillis());
+        while (state == State.SILENT) {
+            Thread.sleep(20);
+        }
+    }
+
+    private String answer(Socket socket, String line) {
+        if (line.equals("PING")) {
+            return "PONG";
+        }
+        if (line.equals("STATS")) {
+            return String.format(Locale.ROOT, "PONG x0=%.2f,queue=0", (double) standing.size() / ROOM);
+        }
+        if (!line.startsWith("OPEN ")) {
+            return line;
+        }
+        String[] parts = line.split(" ");
+        if (parts.length != 4) {
+            return "SYNTAX";
+        }
+        if (state == State.DRAINING || standing.size() >= ROOM) {
+            refused.incrementAndGet();
+            return "BUSY";
+        }
+        standing.add(socket);
+        return "UP " + uid + "-" + served.incrementAndGet();
+    }
+
+    /** Wants nothing new; sends its clients away one after the other. */
+    public void drain() {
+        state = State.DRAINING;
+        daemon(uid + " drains", () -> {
+            try {
+                for (Socket socket : standing) {
+                    if (state != State.DRAINING) {
+                        return;
+                    }
+                    sendAway(socket);
+                    Thread.sleep(SEND_AWAY.toMillis());
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private static void sendAway(Socket socket) {
+        try {
+            socket.getOutputStream().write("MOVE\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            socket.shutdownOutput();
+        } catch (IOException gone) { // it left by itself
+            return;
+        }
+    }
+
+    /** Dies as a process does: what is open is reset, what comes is refused. */
+    public void kill() throws IOException {
+        state = State.DEAD;
+        listener.close();
+        for (Socket socket : open) {
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException closed) { // it ended meanwhile
+                continue;
+            } finally {
+                socket.close();
+            }
+        }
+    }
+
+    /** Freezes as a machine does that is cut off: everything stays open and nothing is said. */
+    public void stop() {
+        state = State.SILENT;
+    }
+
+    /** Serves again; a killed one as a new process at the same address. */
+    public void start() throws IOException {
+        if (state == State.DEAD) {
+            listener = listen(address);
+            bootMs = System.currentTimeMillis();
+        }
+        state = State.READY;
+    }
+
+    /** Answers everything that much later. */
+    public void slow(Duration by) {
+        delay = by;
+    }
+
+    /** Its name. */
+    public String uid() {
+        return uid;
+    }
+
+    /** What it is doing. */
+    public State state() {
+        return state;
+    }
+
+    /** How many clients stand here. */
+    public int standing() {
+        return standing.size();
+    }
+
+    /** How many it has served since its first start. */
+    public long served() {
+        return served.get();
+    }
+
+    /** How many newcomers it has refused. */
+    public long refused() {
+        return refused.get();
+    }
+
+    /** Its entry in discovery's list. */
+    String entry() {
+        String told = switch (state) {
+            case READY, SILENT -> "ready"; // discovery knows only whether a process runs
+            case DRAINING -> "draining";
+            case DEAD -> "gone";
+        };
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address.getAddress().getHostAddress() + ":"
+            + address.getPort() + "\",\"az\":\"" + zone + "\",\"model\":\"stand-in\",\"pod_group\":0,\"state\":\""
+            + told + "\",\"capacity_hint\":1.0,\"boot_ms\":" + bootMs + "}";
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/measure/StartupCommand.java
@@ -0,0 +1,98 @@
+package saltstage.lab.measure;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.lab.Home;
+import saltstage.lab.fleet.Fleet;
+
+/** How long a relay takes from its start to the first PONG, and what it then holds. */
+@Command(name = "startup", mixinStandardHelpOptions = true, description = {
+    "Starts relays in turn, each pinned to one processor with the flags of service, and prints wall time",
+    "and processor time until the first PONG and the resident memory then, as minimum, median, maximum.",
+    "On half a core the processor time is the half of what it takes."})
+public final class StartupCommand implements Callable<Integer> {
+    private static final long TICK_MS = 10; // Linux counts processor time in hundredths of a second
+
+    @Option(names = "--runs", defaultValue = "9", description = "runs of each (default 9)")
+    private int runs;
+
+    @Option(names = "--jvm", split = " ", description = "flags of the JVM (default: those of deploy/)")
+    private List<String> jvm = List.of("-Xms24m", "-Xmx48m", "-Xss256k", "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-XX:MaxMetaspaceSize=32m",
+        "-XX:ReservedCodeCacheSize=16m");
+
+    @Option(names = "--jars", split = ",", description = "jars to compare (default: the built one)")
+    private List<Path> jars = List.of();
+
+    @Option(names = "--flags", description = "for each jar, further JVM flags, given once a jar")
+    private List<String> flags = List.of();
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        List<Path> all = jars.isEmpty() ? List.of(Home.jar()) : jars;
+        long[][][] figures = new long[all.size()][3][runs];
+        for (int run = -1; run < runs; run++) { // one warm-up
+            for (int i = 0; i < all.size(); i++) {
+                long[] got = once(all.get(i), i < flags.size() ? flags.get(i) : "");
+                for (int f = 0; run >= 0 && f < got.length; f++) {
+                    figures[i][f][run] = got[f];
+                }
+            }
+        }
+        System.out.printf("%-10s %-22s %8s %8s %8s%n", "jar", "figure", "min", "median", "max");
+        String[] names = {"wall until PONG, ms", "cpu until PONG, ms", "resident, KiB"};
+        for (int i = 0; i < all.size(); i++) {
+            for (int f = 0; f < names.length; f++) {
+                long[] sorted = figures[i][f];
+                Arrays.sort(sorted);
+                System.out.printf("%-10s %-22s %8d %8d %8d%n", (char) ('A' + i), names[f], sorted[0],
+                    sorted[runs / 2], sorted[runs - 1]);
+            }
+        }
+        return 0;
+    }
+
+    private long[] once(Path jar, String more) throws IOException, InterruptedException {
+        Path dir = Files.createTempDirectory("saltstage-startup");
+        Fleet fleet = new Fleet(12);
+        fleet.writeFiles(dir, "");
+        List<String> command = new ArrayList<>(List.of("taskset", "-c", "1", "java"));
+        command.addAll(jvm);
+        if (!more.isBlank()) {
+            command.addAll(List.of(more.trim().split(" ")));
+        }
+        command.addAll(List.of("-jar", jar.toString(), "serve", "--config",
+            dir.resolve("config.json").toString()));
+        Process relay = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(dir.resolve("log").toFile()).start();
+        try {
+            String[] at = fleet.listen().split(":");
+            Duration wall = Home.awaitPong(new InetSocketAddress(at[0], Integer.parseInt(at[1])), relay,
+                Duration.ofSeconds(30));
+            Path proc = Path.of("/proc", Long.toString(relay.pid()));
+            String stat = Files.readString(proc.resolve("stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            long cpu = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * TICK_MS;
+            long resident = Files.readAllLines(proc.resolve("status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst().orElse(0);
+            return new long[] {wall.toMillis(), cpu, resident};
+        } finally {
+            relay.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+            for (String name : List.of("config.json", "saltstage.hcl", "log")) {
+                Files.delete(dir.resolve(name));
+            }
+            Files.delete(dir);
+        }
+    }
+}
