--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -10,7 +10,8 @@
 /** The laboratory's command line. */
 @Command(name = "lab", description = "Stand-ins, load and measurements for saltstage; never in service.",
     mixinStandardHelpOptions = true,
-    subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, CommandLine.HelpCommand.class})
+    subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class,
+        CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
     static final int USAGE = 2;
--- a/lab/src/main/java/saltstage/lab/fleet/Gateway.java
+++ b/lab/src/main/java/saltstage/lab/fleet/Gateway.java
@@ -220,7 +220,8 @@
             case DEAD -> "gone";
         };
         return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address.getAddress().getHostAddress() + ":"
-            + address.getPort() + "\",\"az\":\"" + zone + "\",\"model\":\"stand-in\",\"pod_group\":0,\"state\":\""
+            + address.getPort() + "\",\"az\":\"" + zone
+                + "\",\"model\":\"stand-in\",\"pod_group\":0,\"state\":\""
             + told + "\",\"capacity_hint\":1.0,\"boot_ms\":" + bootMs + "}";
     }
 }
--- /dev/null
+++ b/relay/src/main/java/saltstage/store/FileDisk.java
@@ -0,0 +1,217 @@
+package saltstage.store;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedByInterruptException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.OpenOption;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A directory of the operating system's. */
+public final class FileDisk implements Disk {
+    private final Path dir;
+
+    /** This directory; it must be there. */
+    public FileDisk(Path dir) {
+        this.dir = dir;
+    }
+
+    /** Makes the directory if it is not there, durably, and gives the disk in it. */
+    public static FileDisk at(Path dir) throws IOException {
+        if (!Files.isDirectory(dir)) {
+            Files.createDirectories(dir);
+            Path parent = dir.toAbsolutePath().getParent();
+            if (parent != null) {
+                new FileDisk(parent).syncDirectory();
+            }
+        }
+        return new FileDisk(dir);
+    }
+
+    @Override
+    public List<String> list() throws IOException {
+        List<String> names = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(dir)) {
+            files.forEach(file -> names.add(file.getFileName().toString()));
+        }
+        return names;
+    }
+
+    @Override
+    public File create(String name) throws IOException {
+        return told(() -> new Handle(dir.resolve(name), StandardOpenOption.CREATE_NEW,
+            StandardOpenOption.READ, StandardOpenOption.WRITE));
+    }
+
+    @Override
+    public File open(String name, boolean toWrite) throws IOException {
+        return toWrite ? new Handle(dir.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE)
+            : new Handle(dir.resolve(name), StandardOpenOption.READ);
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        told(() -> Files.move(dir.resolve(from), dir.resolve(to), StandardCopyOption.ATOMIC_MOVE));
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(dir.resolve(name));
+    }
+
+    @Override
+    public void syncDirectory() throws IOException {
+        try (FileChannel channel = FileChannel.open(dir, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public Closeable lock(String name) throws IOException {
+        FileChannel channel = FileChannel.open(dir.resolve(name), StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE);
+        FileLock lock = null;
+        try {
+            lock = channel.tryLock();
+        } catch (OverlappingFileLockException sameProcess) {
+            lock = null;
+        } finally {
+            if (lock == null) {
+                channel.close();
+            }
+        }
+        return lock == null ? null : channel;
+    }
+
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    /** Tells a full disk from other failures; the JDK has no exception of its own for it. */
+    private static <T> T told(Step<T> step) throws IOException {
+        try {
+            return step.run();
+        } catch (IOException e) {
+            String why = String.valueOf(e.getMessage());
+            if (why.contains("No space left") || why.contains("Disk quota exceeded")) {
+                FullException full = new FullException(why);
+                full.initCause(e);
+                throw full;
+            }
+            throw e;
+        }
+    }
+
+    /**
+     * An open file. The JDK closes a channel under a thread that is interrupted while it uses it; the store's
+     * files must not end with some caller's thread, so the channel is opened anew and the step done again.
+     */
+    private static final class Handle implements File {
+        private final Path path;
+        private final OpenOption[] again;
+        private FileChannel channel;
+        private boolean closed;
+
+        Handle(Path path, OpenOption... options) throws IOException {
+            this.path = path;
+            channel = FileChannel.open(path, options);
+            again = java.util.Arrays.stream(options)
+                .filter(option -> option != StandardOpenOption.CREATE_NEW).toArray(OpenOption[]::new);
+        }
+
+        private interface Use<T> {
+            T with(FileChannel channel) throws IOException;
+        }
+
+        private <T> T use(Use<T> use) throws IOException {
+            boolean interrupted = false;
+            try {
+                while (true) {
+                    interrupted |= Thread.interrupted();
+                    FileChannel open = current();
+                    try {
+                        return told(() -> use.with(open));
+                    } catch (ClosedByInterruptException e) {
+                        interrupted = true;
+                    } catch (ClosedChannelException e) { // another thread that uses it was interrupted
+                        if (isClosed()) {
+                            throw e;
+                        }
+                    }
+                }
+            } finally {
+                if (interrupted) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+
+        private synchronized boolean isClosed() {
+            return closed;
+        }
+
+        private synchronized FileChannel current() throws IOException {
+            if (!channel.isOpen() && !closed) {
+                channel = FileChannel.open(path, again);
+            }
+            return channel;
+        }
+
+        @Override
+        public int read(ByteBuffer into, long position) throws IOException {
+            int start = into.position();
+            return use(open -> {
+                into.position(start);
+                while (into.hasRemaining()) {
+                    if (open.read(into, position + into.position() - start) < 0) {
+                        break;
+                    }
+                }
+                return into.position() - start;
+            });
+        }
+
+        @Override
+        public int write(ByteBuffer from, long position) throws IOException {
+            int start = from.position();
+            return use(open -> {
+                from.position(start);
+                while (from.hasRemaining()) {
+                    if (open.write(from, position + from.position() - start) <= 0) {
+                        break;
+                    }
+                }
+                return from.position() - start;
+            });
+        }
+
+        @Override
+        public void force() throws IOException {
+            use(open -> {
+                open.force(false);
+                return null;
+            });
+        }
+
+        @Override
+        public long size() throws IOException {
+            return use(FileChannel::size);
+        }
+
+        @Override
+        public synchronized void close() throws IOException {
+            closed = true;
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/store/Night.java
@@ -0,0 +1,75 @@
+package saltstage.store;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** A fixed run of batches, deletes, checkpoints and compactions, with what was acknowledged of it. */
+final class Night {
+    static final StoreOptions SMALL = new StoreOptions(2048, false, 1 << 30);
+
+    final List<String> told = new ArrayList<>();
+    /** The state after what was acknowledged last, and after what was asked for last. */
+    TreeMap<String, String> acked = new TreeMap<>();
+    TreeMap<String, String> asked = new TreeMap<>();
+    Store store;
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    Night open(Disk disk) throws IOException {
+        store = Store.open(disk, SMALL, (event, pairs) -> told.add(event + " " + List.of(pairs)));
+        return this;
+    }
+
+    /** Commits a batch of puts and deletes ({@code k=v}, {@code k}). */
+    void commit(String... changes) throws IOException {
+        Batch batch = new Batch();
+        asked = new TreeMap<>(acked);
+        for (String change : changes) {
+            int equals = change.indexOf('=');
+            if (equals < 0) {
+                batch.delete(bytes(change));
+                asked.remove(change);
+            } else {
+                batch.put(bytes(change.substring(0, equals)), bytes(change.substring(equals + 1)));
+                asked.put(change.substring(0, equals), change.substring(equals + 1));
+            }
+        }
+        store.commit(batch);
+        acked = asked;
+    }
+
+    /** All that the store can meet: several segments, a checkpoint, two compactions, a log behind them. */
+    void run() throws IOException {
+        Random random = new Random(7);
+        for (int i = 0; i < 110; i++) {
+            if (i % 7 == 3) {
+                commit("key" + random.nextInt(12), "key" + random.nextInt(12) + "=" + i, "all=" + i);
+            } else {
+                commit("key" + random.nextInt(12) + "=" + "v".repeat(random.nextInt(60)) + i);
+            }
+            if (i == 20 || i == 45) {
+                store.compact();
+            } else if (i == 33) {
+                store.checkpoint();
+            }
+        }
+    }
+
+    static TreeMap<String, String> dump(Store store) throws IOException {
+        TreeMap<String, String> all = new TreeMap<>();
+        try (Snapshot now = store.snapshot()) {
+            Snapshot.Scan scan = now.scan(null, null);
+            while (scan.next()) {
+                all.put(new String(scan.key(), StandardCharsets.UTF_8),
+                    new String(scan.value(), StandardCharsets.UTF_8));
+            }
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/store/StoreTest.java
@@ -0,0 +1,261 @@
+package saltstage.store;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the store promises while nothing goes wrong, against a model and under many threads. */
+class StoreTest {
+    @TempDir
+    Path dir;
+
+    private static byte[] bytes(String text) {
+        return Night.bytes(text);
+    }
+
+    private Store onDisk(int segment, boolean background) throws IOException {
+        return Store.open(FileDisk.at(dir.resolve("s")), new StoreOptions(segment, background, 1 << 30),
+            StoreEvents.NONE);
+    }
+
+    /** Ops: 0 put, 1 delete, 2 batch, 3 checkpoint, 4 compact, 5 reopen. */
+    @Property(tries = 120)
+    void behavesAsASortedMap(@ForAll @Size(min = 1, max = 120) List<@IntRange(min = 0,
+        max = 99_999) Integer> ops)
+            throws IOException {
+        FaultDisk disk = new FaultDisk();
+        Night night = new Night().open(disk);
+        for (int op : ops) {
+            String key = "k" + op / 10 % 40;
+            switch (op % 10) {
+                case 0, 1, 2, 3 -> night.commit(key + "=" + "v".repeat(op / 500));
+                case 4, 5 -> night.commit(key);
+                case 6 -> night.commit(key + "=1", "k" + op / 400 % 40, key + "=2", "m" + op % 7 + "=" + op);
+                case 7 -> night.store.checkpoint();
+                case 8 -> night.store.compact();
+                default -> {
+                    night.store.close();
+                    night.open(disk);
+                }
+            }
+            assertEquals(night.acked, Night.dump(night.store));
+        }
+        Store.Verified all = night.store.verify();
+        assertEquals(night.acked.size(), all.live());
+        TreeMap<String, String> reread = Night.dump(new Night().open(disk.afterCrash(new Random(1))).store);
+        assertEquals(night.acked, reread);
+    }
+
+    @Test
+    void scansInOrderOfUnsignedBytesBetweenBounds() throws IOException {
+        try (Store store = onDisk(4096, false)) {
+            List<byte[]> keys = new ArrayList<>();
+            for (int i = 0; i < 256; i++) {
+                keys.add(new byte[] {(byte) i, 1});
+                store.put(new byte[] {(byte) (i * 37), 1}, new byte[] {(byte) (i * 37)});
+            }
+            try (Snapshot now = store.snapshot()) {
+                Snapshot.Scan scan = now.scan(new byte[] {100}, new byte[] {(byte) 200, 1});
+                for (int i = 100; i < 200; i++) {
+                    assertTrue(scan.next());
+                    assertArrayEquals(keys.get(i), scan.key());
+                    assertArrayEquals(new byte[] {(byte) i}, scan.value());
+                }
+                assertTrue(!scan.next());
+            }
+        }
+    }
+
+    @Test
+    void aVersionThatMovedOnRefusesTheWholeBatch() throws IOException {
+        try (Store store = onDisk(4096, false)) {
+            long first = store.commit(new Batch().expect(bytes("a"), 0).put(bytes("a"), bytes("1")));
+            StoreException.Conflict conflict = assertThrows(StoreException.Conflict.class, () -> store.commit(
+                new Batch().put(bytes("b"), bytes("1")).expect(bytes("a"), 0).put(bytes("a"), bytes("2"))));
+            assertEquals(first, conflict.found());
+            assertNull(store.get(bytes("b")));
+            long second = store.commit(new Batch().expect(bytes("a"), first).put(bytes("a"), bytes("2")));
+            assertTrue(second > first);
+            assertArrayEquals(bytes("2"), store.get(bytes("a")));
+        }
+    }
+
+    @Test
+    void aSecondOpenerIsRefusedAndReadersAreNot() throws IOException {
+        try (Store store = onDisk(4096, false)) {
+            store.put(bytes("a"), bytes("1"));
+            StoreException refused = assertThrows(StoreException.Locked.class, () -> onDisk(4096, false));
+            assertEquals("the store is open in another process", refused.getMessage());
+            try (Store reader = Store.openToRead(new FileDisk(dir.resolve("s")), StoreEvents.NONE)) {
+                assertArrayEquals(bytes("1"), reader.get(bytes("a")));
+                assertThrows(StoreException.class, () -> reader.put(bytes("a"), bytes("2")));
+            }
+        }
+    }
+
+    @Test
+    void manyWritersShareGroupsAndEachGetsItsOwnAnswer() throws Exception {
+        int writers = 16;
+        int each = 60;
+        ConcurrentLinkedQueue<Throwable> failures = new ConcurrentLinkedQueue<>();
+        try (Store store = onDisk(32 << 10, true)) {
+            store.put(bytes("shared"), ByteBuffer.allocate(8).array());
+            List<Thread> threads = new ArrayList<>();
+            for (int w = 0; w < writers; w++) {
+                int writer = w;
+                threads.add(new Thread(() -> {
+                    try {
+                        for (int i = 0; i < each; i++) {
+                            increment(store);
+                            store.put(bytes("w" + writer + "-" + i), bytes("x".repeat(i)));
+                        }
+                    } catch (IOException | RuntimeException e) {
+                        failures.add(e);
+                    }
+                }));
+            }
+            threads.forEach(Thread::start);
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            assertTrue(failures.isEmpty(), failures.toString());
+        }
+        try (Store store = onDisk(32 << 10, false)) {
+            assertEquals(writers * each, ByteBuffer.wrap(store.get(bytes("shared"))).getLong());
+            assertEquals(writers * each + 1, store.verify().live());
+        }
+    }
+
+    private static void increment(Store store) throws IOException {
+        byte[] key = bytes("shared");
+        while (true) {
+            try (Snapshot now = store.snapshot()) {
+                long next = ByteBuffer.wrap(now.get(key)).getLong() + 1;
+                store.commit(new Batch().expect(key, now.version(key))
+                    .put(key, ByteBuffer.allocate(8).putLong(next).array()));
+                return;
+            } catch (StoreException.Conflict again) {
+                continue;
+            }
+        }
+    }
+
+    /** Pairs are written together: a reader that sees half of one, or loses a file, fails. */
+    @Test
+    void readersSeeOneStateThroughCompactions() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        ConcurrentLinkedQueue<Throwable> failures = new ConcurrentLinkedQueue<>();
+        try (Store store = onDisk(8 << 10, false)) {
+            store.commit(new Batch().put(bytes("a"), bytes("0")).put(bytes("z"), bytes("0")));
+            List<Thread> readers = new ArrayList<>();
+            for (int r = 0; r < 3; r++) {
+                readers.add(new Thread(() -> {
+                    try {
+                        while (!over.get()) {
+                            try (Snapshot now = store.snapshot()) {
+                                assertArrayEquals(now.get(bytes("a")), now.get(bytes("z")));
+                                Thread.onSpinWait();
+                                assertArrayEquals(now.get(bytes("a")), now.get(bytes("z")));
+                            }
+                        }
+                    } catch (IOException | AssertionError | RuntimeException e) {
+                        failures.add(e);
+                    }
+                }));
+            }
+            readers.forEach(Thread::start);
+            for (int i = 1; i <= 400; i++) {
+                byte[] value = bytes(i + "x".repeat(80));
+                store.commit(new Batch().put(bytes("a"), value).put(bytes("z"), value)
+                    .put(bytes("k" + i % 20), value));
+                if (i % 25 == 0) {
+                    store.compact();
+                }
+            }
+            over.set(true);
+            for (Thread reader : readers) {
+                reader.join();
+            }
+            assertTrue(failures.isEmpty(), failures.toString());
+        }
+    }
+
+    @Test
+    void spaceOfDeletedDataComesBack() throws IOException {
+        try (Store store = onDisk(16 << 10, false)) {
+            for (int i = 0; i < 2_000; i++) {
+                store.put(bytes("k" + i % 10), new byte[100]);
+            }
+            long before = store.stat().fileBytes();
+            store.compact();
+            long after = store.stat().fileBytes();
+            assertTrue(after < before / 5, before + " then " + after);
+            assertEquals(10, store.verify().live());
+        }
+    }
+
+    @Test
+    void aSnapshotReadsOnWhatCompactionHasTakenAway() throws IOException {
+        FaultDisk disk = new FaultDisk();
+        Night night = new Night().open(disk);
+        night.run();
+        TreeMap<String, String> then = night.acked;
+        TreeMap<String, String> seen = new TreeMap<>();
+        try (Snapshot old = night.store.snapshot()) {
+            for (String key : then.keySet()) {
+                night.commit(key + "=new");
+            }
+            night.store.compact();
+            Snapshot.Scan scan = old.scan(null, null);
+            while (scan.next()) {
+                seen.put(new String(scan.key()), new String(scan.value()));
+            }
+        }
+        assertEquals(then, seen);
+    }
+
+    @Test
+    void anInterruptedThreadNeitherFailsNorClosesTheFiles() throws IOException {
+        try (Store store = onDisk(4096, false)) {
+            store.put(bytes("a"), bytes("1"));
+            Thread.currentThread().interrupt();
+            store.put(bytes("b"), bytes("2"));
+            assertArrayEquals(bytes("1"), store.get(bytes("a")));
+            assertTrue(Thread.interrupted(), "the interrupt is kept");
+            store.put(bytes("c"), bytes("3"));
+        }
+    }
+
+    @Test
+    void largeBatchesAreWholeAndMarked() throws IOException {
+        byte[] large = new byte[200 << 10];
+        new Random(3).nextBytes(large);
+        try (Store store = onDisk(64 << 10, false)) {
+            store.commit(new Batch().put(bytes("large"), large).put(bytes("small"), bytes("1")));
+        }
+        try (Store store = onDisk(64 << 10, false)) {
+            assertArrayEquals(large, store.get(bytes("large")));
+            store.put(bytes("large"), bytes("now small"));
+            store.compact();
+            assertArrayEquals(bytes("now small"), store.get(bytes("large")));
+        }
+    }
+}
