--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -26,7 +26,8 @@
 /** The command line. */
 @Command(name = "saltstage", description = "A relay for long-lived connections.",
     mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, Main.ShowVersion.class,
+    subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, StoreCommand.class,
+        Main.ShowVersion.class,
         CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
     private static final int FAILED = 1;
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/StoreCommand.java
@@ -0,0 +1,324 @@
+package saltstage.lifecycle;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltstage.log.Log;
+import saltstage.store.Batch;
+import saltstage.store.FileDisk;
+import saltstage.store.Snapshot;
+import saltstage.store.Store;
+import saltstage.store.StoreException;
+import saltstage.store.StoreOptions;
+
+/** What can be done with a store by hand or by a script. */
+@Command(name = "store", mixinStandardHelpOptions = true, description = "Works with an embedded store.",
+    footer = {"",
+        "Keys and values are bytes, one pair a line: key TAB value, with \\t, \\n and \\\\ for a tab, a",
+        "line end and a backslash. Exits 0; 1 with one line on standard error; 2 on a wrong command line."},
+    subcommands = {StoreCommand.Load.class, StoreCommand.Dump.class, StoreCommand.Get.class,
+        StoreCommand.Verify.class, StoreCommand.Compact.class, StoreCommand.Show.class,
+        CommandLine.HelpCommand.class})
+final class StoreCommand implements Callable<Integer> {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+            "a sub-command is needed; see 'store help'");
+    }
+
+    private interface Work {
+        int with(Store store) throws IOException;
+    }
+
+    /** The directory of the store. */
+    static final class Where {
+        @Parameters(index = "0", paramLabel = "DIR", description = "the store's directory")
+        private Path dir;
+
+        int read(Work work) throws IOException {
+            if (!Files.isDirectory(dir)) {
+                throw new StoreException(dir + ": there is no store");
+            }
+            return named(() -> Store.openToRead(new FileDisk(dir), Log::warn), work);
+        }
+
+        int write(StoreOptions options, Work work) throws IOException {
+            return named(() -> Store.open(FileDisk.at(dir), options, Log::warn), work);
+        }
+
+        private interface Opening {
+            Store open() throws IOException;
+        }
+
+        private int named(Opening opening, Work work) throws IOException {
+            try (Store store = opening.open()) {
+                return work.with(store);
+            } catch (StoreException e) {
+                throw new StoreException(dir + ": " + e.getMessage(), e);
+            }
+        }
+    }
+
+    /** One key and value as a line. */
+    static final class Lines {
+        private final InputStream in;
+        private long line;
+        private boolean last;
+
+        Lines(InputStream in) {
+            this.in = in;
+        }
+
+        /** The bytes of the next line, null at the end. */
+        byte[] next() throws IOException {
+            ByteArrayOutputStream read = new ByteArrayOutputStream();
+            int b = last ? -1 : in.read();
+            if (b < 0) {
+                return null;
+            }
+            line++;
+            for (; b >= 0 && b != '\n'; b = in.read()) {
+                read.write(b);
+            }
+            last = b < 0;
+            return read.toByteArray();
+        }
+
+        /** Adds what the line says to a batch. */
+        void add(byte[] text, Batch to) throws StoreException {
+            int tab = 0;
+            while (tab < text.length && text[tab] != '\t') {
+                tab++;
+            }
+            byte[] key = plain(text, 0, tab);
+            try {
+                if (tab == text.length) {
+                    to.delete(key);
+                } else {
+                    to.put(key, plain(text, tab + 1, text.length));
+                }
+            } catch (IllegalArgumentException bad) {
+                throw new StoreException("line " + line + ": " + bad.getMessage());
+            }
+        }
+
+        private byte[] plain(byte[] text, int from, int to) throws StoreException {
+            ByteArrayOutputStream out = new ByteArrayOutputStream(to - from);
+            for (int i = from; i < to; i++) {
+                if (text[i] == '\t') {
+                    throw new StoreException("line " + line + ": more than one tab");
+                }
+                if (text[i] != '\\') {
+                    out.write(text[i]);
+                    continue;
+                }
+                int which = ++i < to ? "tn\\".indexOf(text[i]) : -1;
+                if (which < 0) {
+                    throw new StoreException("line " + line
+                        + ": a backslash takes t, n or another behind it");
+                }
+                out.write("\t\n\\".charAt(which));
+            }
+            return out.toByteArray();
+        }
+
+        static void write(OutputStream out, byte[] plain) throws IOException {
+            for (byte b : plain) {
+                int which = "\t\n\\".indexOf(b);
+                if (which >= 0) {
+                    out.write('\\');
+                    out.write("tn\\".charAt(which));
+                } else {
+                    out.write(b);
+                }
+            }
+        }
+    }
+
+    private static OutputStream standardOut() {
+        return new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
+    }
+
+    /** Loads. */
+    @Command(name = "load", mixinStandardHelpOptions = true, description = {
+        "Reads pairs from standard input and commits each; a key alone deletes. Prints 'acked SEQ' once a",
+        "commit is durable. A bad line ends it: its batch is not committed, what was acked stays."})
+    static final class Load implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Option(names = "--batch", paramLabel = "N", defaultValue = "1",
+            description = "so many lines are one atomic batch (default 1)")
+        private int lines;
+
+        @Option(names = "--segment", paramLabel = "BYTES", defaultValue = "8388608",
+            description = "size of a log segment (default 8 MiB)")
+        private int segment;
+
+        @Override
+        public Integer call() throws IOException {
+            if (lines < 1) {
+                throw new StoreException("--batch takes a whole number from 1 on");
+            }
+            StoreOptions usual = StoreOptions.usual();
+            return where.write(new StoreOptions(segment, true, usual.compactionRate()), this::load);
+        }
+
+        private int load(Store store) throws IOException {
+            Lines in = new Lines(new BufferedInputStream(System.in, 1 << 16));
+            OutputStream out = standardOut();
+            Batch batch = new Batch();
+            for (byte[] line = in.next(); line != null; line = in.next()) {
+                in.add(line, batch);
+                if (batch.size() == lines) {
+                    acked(out, store.commit(batch));
+                    batch = new Batch();
+                }
+            }
+            if (batch.size() > 0) {
+                acked(out, store.commit(batch));
+            }
+            return 0;
+        }
+
+        private static void acked(OutputStream out, long seq) throws IOException {
+            out.write(("acked " + seq + "\n").getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+        }
+    }
+
+    /** Dumps. */
+    @Command(name = "dump", mixinStandardHelpOptions = true,
+        description = "Prints the live pairs in the order of their keys, in the form that load reads.")
+    static final class Dump implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Override
+        public Integer call() throws IOException {
+            return where.read(store -> {
+                try (Snapshot now = store.snapshot(); OutputStream out = standardOut()) {
+                    Snapshot.Scan scan = now.scan(null, null);
+                    while (scan.next()) {
+                        Lines.write(out, scan.key());
+                        out.write('\t');
+                        Lines.write(out, scan.value());
+                        out.write('\n');
+                    }
+                }
+                return 0;
+            });
+        }
+    }
+
+    /** Gets. */
+    @Command(name = "get", mixinStandardHelpOptions = true,
+        description = "Prints a key's value, escaped as in dump. Exits 1 if the key is not there.")
+    static final class Get implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Parameters(index = "1", paramLabel = "KEY", description = "the key, escaped as in dump")
+        private String key;
+
+        @Override
+        public Integer call() throws IOException {
+            byte[] wanted = new Lines(InputStream.nullInputStream())
+                .plain(key.getBytes(StandardCharsets.UTF_8), 0, key.getBytes(StandardCharsets.UTF_8).length);
+            return where.read(store -> {
+                byte[] value = store.get(wanted);
+                if (value == null) {
+                    throw new StoreException("there is no such key");
+                }
+                try (OutputStream out = standardOut()) {
+                    Lines.write(out, value);
+                    out.write('\n');
+                }
+                return 0;
+            });
+        }
+    }
+
+    /** Verifies. */
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+        description = "Reads every record and live value; prints one line, or refuses with file and offset.")
+    static final class Verify implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Override
+        public Integer call() throws IOException {
+            return where.read(store -> {
+                Store.Verified all = store.verify();
+                System.out.println("ok records=" + all.records() + " live=" + all.live() + " seq="
+                    + all.seq());
+                return 0;
+            });
+        }
+    }
+
+    /** Compacts. */
+    @Command(name = "compact", mixinStandardHelpOptions = true,
+        description = "Gives back the space of deleted and overwritten data; not while another one writes.")
+    static final class Compact implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Override
+        public Integer call() throws IOException {
+            StoreOptions usual = StoreOptions.usual();
+            return where.write(new StoreOptions(usual.segmentBytes(), false, usual.compactionRate()),
+                store -> {
+                long before = store.stat().fileBytes();
+                long copied = store.compact();
+                System.out.println("compacted copied=" + copied + " before=" + before + " after="
+                    + store.stat().fileBytes());
+                return 0;
+            });
+        }
+    }
+
+    /** Shows how it stands. */
+    @Command(name = "stat", mixinStandardHelpOptions = true, description = "Prints what a store holds.")
+    static final class Show implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Option(names = "--json", description = "one JSON object")
+        private boolean json;
+
+        @Override
+        public Integer call() throws IOException {
+            return where.read(store -> {
+                Store.Stat s = store.stat();
+                String[] names = {"live", "seq", "segments", "file_bytes", "live_bytes", "dead_bytes",
+                    "checkpoint_seq", "checkpoint_bytes", "log_since"};
+                long[] values = {s.live(), s.seq(), s.segments(), s.fileBytes(), s.liveBytes(), s.deadBytes(),
+                    s.checkpointSeq(), s.checkpointBytes(), s.logSince()};
+                StringBuilder out = new StringBuilder();
+                for (int i = 0; i < names.length; i++) {
+                    out.append(json ? (i == 0 ? "{" : ",") + "\"" + names[i] + "\":" + values[i]
+                        : names[i] + "=" + values[i] + "\n");
+                }
+                System.out.print(out + (json ? "}\n" : ""));
+                return 0;
+            });
+        }
+    }
+}
--- a/relay/src/main/java/saltstage/store/Core.java
+++ b/relay/src/main/java/saltstage/store/Core.java
@@ -49,6 +49,13 @@
         }
     }
 
+    /** Refuses where the store was closed; under the write lock. */
+    void mustBeOpen() throws StoreException {
+        if (view == null) {
+            throw new StoreException("the store is closed");
+        }
+    }
+
     /** Shows another state from now on; under the write lock. */
     void show(View next) {
         View before = view;
--- a/relay/src/main/java/saltstage/store/FileDisk.java
+++ b/relay/src/main/java/saltstage/store/FileDisk.java
@@ -71,8 +71,11 @@
 
     @Override
     public void syncDirectory() throws IOException {
-        try (FileChannel channel = FileChannel.open(dir, StandardOpenOption.READ)) {
-            channel.force(true);
+        try (Handle handle = new Handle(dir, StandardOpenOption.READ)) {
+            handle.use(open -> {
+                open.force(true);
+                return null;
+            });
         }
     }
 
--- a/relay/src/main/java/saltstage/store/LogWriter.java
+++ b/relay/src/main/java/saltstage/store/LogWriter.java
@@ -45,6 +45,7 @@
     void write(List<Pending> taken) throws StoreException {
         core.writing.lock();
         try {
+            core.mustBeOpen();
             if (core.stopped() != null) {
                 throw core.stopped();
             }
@@ -197,10 +198,11 @@
             throw new IOException("short write of a header");
         }
         ready.file().force();
+        ready.file().close(); // it is opened anew by the name that it keeps: an open file knows where it is
         String name = Segment.name(ready.id(), Frames.LOG_SEGMENT);
         core.disk.rename(ready.name(), name);
         core.disk.syncDirectory(); // a manifest must not be durable before the names that are in it
-        Segment next = new Segment(core.disk, name, ready.file(), header);
+        Segment next = new Segment(core.disk, name, core.disk.open(name, true), header);
         Segment before = core.active;
         SegmentSet set = core.view().set().with(next);
         core.active = next;
--- a/relay/src/main/java/saltstage/store/Maintenance.java
+++ b/relay/src/main/java/saltstage/store/Maintenance.java
@@ -53,9 +53,10 @@
         }
     }
 
-    List<SpacePolicy.Sealed> sealed() {
+    List<SpacePolicy.Sealed> sealed() throws StoreException {
         core.writing.lock();
         try {
+            core.mustBeOpen();
             return core.view().set().all().stream().filter(s -> s != core.active)
                 .map(s -> new SpacePolicy.Sealed(s.id(), s.used() - Frames.HEADER, s.live())).toList();
         } finally {
@@ -68,10 +69,9 @@
         return copied;
     }
 
-    void close() {
-        closing = true;
-        running.lock(); // what runs ends at its next step
-        running.unlock();
+    /** Whether what runs is to end at its next step. */
+    void closing(boolean now) {
+        closing = now;
     }
 
     /** Rewrites every segment with anything dead in it, as fast as it goes; returns the bytes copied. */
@@ -81,6 +81,7 @@
             long before = copied;
             core.writing.lock();
             try {
+                core.mustBeOpen();
                 if (core.active.used() > Frames.HEADER && core.active.live() < core.active.used() / 2) {
                     writer.roll(Frames.HEAD);
                 }
@@ -325,8 +326,7 @@
             if (out.write(Frames.header(header), 0) < Frames.HEADER) {
                 throw new IOException("short write of " + name());
             }
-            out.force();
-            core.disk.syncDirectory();
+            out.force(); // its name becomes durable with that of the checkpoint which points into it
             Segment segment = new Segment(core.disk, name(), out, header);
             segment.used(end);
             out = null;
--- a/relay/src/main/java/saltstage/store/Store.java
+++ b/relay/src/main/java/saltstage/store/Store.java
@@ -209,6 +209,27 @@
         }
     }
 
+    /** The store's own thread ends at its next step; nothing is taken from under it. */
+    private void endTender() {
+        if (tender == null) {
+            return;
+        }
+        maintenance.closing(true);
+        boolean interrupted = false;
+        while (tender.isAlive()) {
+            LockSupport.unpark(tender);
+            try {
+                tender.join(10);
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+        maintenance.closing(false);
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Ends writing and lets go of the files; snapshots that are open stay readable. */
     @Override
     public void close() throws IOException {
@@ -216,9 +237,7 @@
             return;
         }
         try {
-            if (tender != null) {
-                LockSupport.unpark(tender);
-            }
+            endTender();
             if (lock != null && core.stopped() == null && core.logSince > 0 && core.logSince
                 >= Math.min(core.manifest.checkpoint().bytes(), LEAST_WORTH_CHECKPOINT)) {
                 maintenance.checkpoint();
@@ -226,7 +245,6 @@
         } catch (IOException notNow) { // the log has it all: the next start only takes longer
             core.events.tell("store.compaction.failed", "why", notNow.getMessage());
         } finally {
-            maintenance.close();
             core.writing.lock();
             try {
                 writer.close();
--- a/relay/src/test/java/saltstage/store/CrashTest.java
+++ b/relay/src/test/java/saltstage/store/CrashTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
@@ -117,6 +118,26 @@
         assertTrue(stopped > operations / 2, "stopped in " + stopped);
     }
 
+    /** The page cache forgets what a force could not write: a second one that succeeds means nothing. */
+    @Test
+    void aFailedForceStopsAcknowledgingForGood() throws IOException {
+        for (FaultDisk.Fault fault : new FaultDisk.Fault[] {FaultDisk.Fault.FAIL, FaultDisk.Fault.SHORT}) {
+            FaultDisk disk = new FaultDisk();
+            Night night = new Night().open(disk);
+            night.commit("a=1");
+            disk.arm(fault == FaultDisk.Fault.FAIL ? 1 : 0, fault);
+            assertThrows(StoreException.Stopped.class, () -> night.commit("a=2"));
+            for (int i = 0; i < 3; i++) {
+                assertThrows(StoreException.Stopped.class, () -> night.commit("a=3"));
+            }
+            assertThrows(StoreException.class, night.store::checkpoint);
+            assertEquals(night.acked, Night.dump(night.store));
+            assertEquals(false, night.store.writable());
+            assertEquals(1, night.told.size(), "said once: " + night.told);
+            night.store.close();
+        }
+    }
+
     @Test
     void aFullDiskRefusesReadsOnAndRecovers() throws IOException {
         int operations = operations();
@@ -160,5 +181,14 @@
         assertTrue(
             next.told.get(0).matches("store.torn \\[file, [0-9a-f]{16}\\.log, offset, \\d+, length, \\d+\\]"),
             next.told.toString());
+        next.store.close();
+        Night third = new Night().open(left.copy());
+        assertEquals(List.of(), third.told, "it is told once");
+        String log = left.list().stream().filter(name -> name.endsWith(".log")).findFirst().orElseThrow();
+        byte[] content = left.content(log);
+        int end = Frames.HEADER + 2 * 72 + 200; // the first group, its mirror, and more than that
+        for (int i = end; i < content.length; i++) {
+            assertEquals(0, content[i], "left over at " + i);
+        }
     }
 }
--- a/relay/src/test/java/saltstage/store/Night.java
+++ b/relay/src/test/java/saltstage/store/Night.java
@@ -47,6 +47,9 @@
     /** All that the store can meet: several segments, a checkpoint, two compactions, a log behind them. */
     void run() throws IOException {
         Random random = new Random(7);
+        for (int i = 0; i < 6; i++) {
+            commit("old" + i + "=" + "o".repeat(30) + i); // lives in copies from the first compaction on
+        }
         for (int i = 0; i < 110; i++) {
             if (i % 7 == 3) {
                 commit("key" + random.nextInt(12), "key" + random.nextInt(12) + "=" + i, "all=" + i);
