--- a/relay/src/main/java/saltstage/store/Core.java
+++ b/relay/src/main/java/saltstage/store/Core.java
@@ -14,8 +14,11 @@
     final Disk disk;
     final StoreOptions options;
     final StoreEvents events;
-    /** Held by whoever writes the log, changes the set of segments or publishes a manifest. */
-    final ReentrantLock writing = new ReentrantLock();
+    /**
+     * Held by whoever writes the log, changes the set of segments or publishes a manifest. Fair: a compaction
+     * that comes again at once must not keep the writers out.
+     */
+    final ReentrantLock writing = new ReentrantLock(true);
     private volatile View view;
     private volatile StoreException.Stopped stopped;
     private volatile boolean full;
