Keep the list, what was learnt and the accepted configurations in the store

Need: a relay forgot everything when it stopped. Package saltstage.keep, written by one thread, never on a request's path, on with store { dir } in the operator's settings.

The kill test found a log read out of order: a spare segment had its number before another was begun. Numbers are now given when a segment begins; the test that plays it fails without that.

--- a/relay/src/main/java/saltstage/Api.java
+++ b/relay/src/main/java/saltstage/Api.java
@@ -1,6 +1,7 @@
 package saltstage;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * What {@link Logic} speaks: its types, the events a host program calls in and the actions it gets back.
@@ -60,6 +61,17 @@
     public record Request(long id, int serviceClass, int tenant, long key, long group, long hint,
             long deadline, boolean again, boolean midFlow) { }
 
+    /**
+     * What a node has learnt of a server, as plain data: set-up latencies and how much longer it is to be
+     * left alone, in microseconds; startedAt tells which process of the server it was learnt from.
+     */
+    public record LearntServer(String id, long startedAt, double setup, double deviation, double lowest,
+            int strikes, long shunnedFor) { }
+
+    /** What a node has learnt; shares are parts of the open connections by group, the largest groups only. */
+    public record Learnt(double setup, double deviation, double load, double life, double meanShare,
+            List<LearntServer> servers, Map<Long, Double> shares) { }
+
     /** The events of one node, in the order of their arrival. */
     public interface Events {
         /** The node starts; it has no servers yet. */
--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -76,6 +76,7 @@
     private double placed;
     private final Set<Host> met = new LinkedHashSet<>(); // a node that sees little ranks little
     private final Map<Long, Integer> groups = new HashMap<>();
+    private Map<Long, Double> remembered = Map.of();
     private double meanShare;
     private int opens;
     private int locals;
@@ -94,6 +95,39 @@
         shortestAim = settings.classes().stream().mapToDouble(ServiceClass::messageAim).min().orElse(0);
     }
 
+    // ---- what outlives a node: it costs time to learn again
+
+    /** Hands out what was learnt, as plain data. */
+    public Learnt learnt(long at) {
+        List<LearntServer> servers = hosts.values().stream().filter(h -> h.setup.known || at < h.shunUntil)
+            .map(h -> new LearntServer(h.server.id(), h.server.startedAt(), h.setup.value, h.setup.deviation,
+                h.lowest, h.strikes, Math.max(0, h.shunUntil - at))).toList();
+        Map<Long, Double> shares = new TreeMap<>();
+        groups.forEach((group, open) -> shares.put(group, open / (double) Math.max(1, opens)));
+        shares.values().removeIf(share -> share <= meanShare); // the others are told as well by the mean
+        return new Learnt(setup.value, setup.deviation, arrival.known ? arrival.value : 0,
+            lifetime.known ? lifetime.value : 0, meanShare, servers, shares);
+    }
+
+    /** Takes in what a former node of this name has learnt, of the processes that still run. */
+    public void learn(long at, Learnt known) {
+        setup.set(known.setup(), known.deviation());
+        lifetime.set(known.life(), known.life() / 2);
+        arrival.set(known.load() > 0 ? known.load() : 1, known.load() / 2);
+        arrival.known = known.load() > 0;
+        meanShare = known.meanShare();
+        remembered = Map.copyOf(known.shares());
+        for (LearntServer learnt : known.servers()) {
+            Host h = hosts.get(learnt.id());
+            if (h != null && h.server.startedAt() == learnt.startedAt()) {
+                h.setup.set(learnt.setup(), learnt.deviation());
+                h.lowest = learnt.lowest();
+                h.strikes = learnt.shunnedFor() > 0 ? Math.min(learnt.strikes(), MAX_DOUBLINGS) : 0;
+                h.shunUntil = at + Math.min(learnt.shunnedFor(), EJECT << MAX_DOUBLINGS);
+            }
+        }
+    }
+
     /** One of the f tables of a server: at most d clients with their counters. */
     static final class Table {
         final long[] client = new long[TOP_D];
@@ -414,7 +448,8 @@
 
     /** A group too big for a server would jam its default: the places it has by its share of what is open. */
     private int width(Call c) {
-        double share = (groups.getOrDefault(c.route, 0) + PRIOR * meanShare) / (opens + PRIOR);
+        double prior = PRIOR * remembered.getOrDefault(c.route, meanShare);
+        double share = (groups.getOrDefault(c.route, 0) + prior) / (opens + PRIOR);
         return c.request.midFlow() ? 1 : Math.max(1, (int) (SPREAD * share * locals));
     }
 
@@ -539,7 +574,10 @@
             all[n] = w(h);
             sum += all[n++];
         }
-        meanShare = 2 * pairs / Math.max(1, opens * (opens - 1)); // of the group of a connection drawn
+        if (remembered.isEmpty() || opens >= PRIOR) { // few say less than what was remembered
+            meanShare = 2 * pairs / Math.max(1, opens * (opens - 1)); // of the group of a connection drawn
+            remembered = opens > PRIOR * PRIOR ? Map.of() : remembered;
+        }
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -23,6 +23,12 @@
         double deviation;
         boolean known;
 
+        void set(double mean, double off) {
+            value = mean;
+            deviation = off;
+            known = mean > 0;
+        }
+
         double add(double sample) {
             double off = Math.abs(sample - value);
             deviation = known ? deviation + GAIN * (off - deviation) : sample / 2;
--- a/relay/src/main/java/saltstage/config/Configuration.java
+++ b/relay/src/main/java/saltstage/config/Configuration.java
@@ -32,6 +32,7 @@
     private final List<String> classes = new ArrayList<>();
     private final List<String> tenants = new ArrayList<>();
     private final List<String> zones;
+    private String text = "";
 
     private Configuration(Map<String, Object> json) throws MalformedException {
         name = json.get("name") instanceof String given ? given : "relay";
@@ -68,7 +69,9 @@
     /** Takes the text of a configuration. */
     public static Configuration of(String text) throws MalformedException {
         try {
-            return new Configuration(Json.object(text));
+            Configuration read = new Configuration(Json.object(text));
+            read.text = text;
+            return read;
         } catch (MalformedException e) {
             throw new MalformedException("configuration: " + e.getMessage());
         }
@@ -121,6 +124,11 @@
         return parts;
     }
 
+    /** The text that it was read from. */
+    public String text() {
+        return text;
+    }
+
     /** The relay's name. */
     public String name() {
         return name;
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/ConfigCommand.java
@@ -0,0 +1,164 @@
+package saltstage.lifecycle;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltstage.config.Configuration;
+import saltstage.config.OperatorSettings;
+import saltstage.keep.History;
+import saltstage.log.Log;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.wire.MalformedException;
+
+/** The configurations that a relay has accepted. */
+@Command(name = "config", mixinStandardHelpOptions = true, description = {
+    "Shows the configurations that a relay has accepted, and brings one back.",
+    "They are read from the store of the settings, also while the relay runs."},
+    subcommands = {ConfigCommand.ListAll.class, ConfigCommand.Show.class, ConfigCommand.Rollback.class,
+        CommandLine.HelpCommand.class})
+final class ConfigCommand implements Callable<Integer> {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+            "a sub-command is needed; see 'config help'");
+    }
+
+    private interface Reading<T> {
+        T from(Store store) throws IOException;
+    }
+
+    /** Where the relay keeps them. */
+    static final class Where {
+        @Option(names = "--settings", paramLabel = "FILE", required = true,
+            description = "the operator's settings, whose store block names the directory")
+        private Path file;
+
+        private <T> T read(Reading<T> reading) throws IOException, MalformedException {
+            OperatorSettings.Keeping keeping = OperatorSettings.read(file).keeping()
+                .orElseThrow(() -> new MalformedException(file + ": there is no store block"));
+            if (!Files.isDirectory(keeping.dir())) {
+                throw new IOException(keeping.dir() + ": there is no store");
+            }
+            try (Store store = Store.openToRead(new FileDisk(keeping.dir()), Log::warn)) {
+                return reading.from(store);
+            } catch (IOException e) {
+                throw new IOException(keeping.dir() + ": " + e.getMessage(), e);
+            }
+        }
+
+        private History.Version find(long number) throws IOException, MalformedException {
+            return read(store -> History.find(store, number))
+                .orElseThrow(() -> new MalformedException("there is no version " + number));
+        }
+    }
+
+    /** Lists. */
+    @Command(name = "history", mixinStandardHelpOptions = true,
+        description = "Lists the versions that are kept: number, time, hash, and the sizes of the two texts.")
+    static final class ListAll implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Option(names = "--json", description = "one JSON object a line")
+        private boolean json;
+
+        @Override
+        public Integer call() throws IOException, MalformedException {
+            for (History.Version v : where.read(History::all)) {
+                int configuration = v.configuration().getBytes(StandardCharsets.UTF_8).length;
+                int settings = v.settings().getBytes(StandardCharsets.UTF_8).length;
+                System.out.printf(json ? "{\"version\":%d,\"at\":\"%s\",\"hash\":\"%s\","
+                    + "\"configuration_bytes\":%d,\"settings_bytes\":%d}%n"
+                    : "%d %s %s configuration=%d settings=%d%n", v.number(), v.at(), v.hash(), configuration,
+                    settings);
+            }
+            return 0;
+        }
+    }
+
+    /** The two texts of a version. */
+    enum Part { configuration, settings }
+
+    /** Shows. */
+    @Command(name = "show", mixinStandardHelpOptions = true,
+        description = "Prints a version as it was accepted.")
+    static final class Show implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Parameters(index = "0", paramLabel = "N", description = "the version")
+        private long number;
+
+        @Option(names = "--part", defaultValue = "configuration",
+            description = "configuration (the platform's JSON, default) or settings (the operator's HCL)")
+        private Part part;
+
+        @Override
+        public Integer call() throws IOException, MalformedException {
+            History.Version version = where.find(number);
+            System.out.print(part == Part.settings ? version.settings() : version.configuration());
+            System.out.flush();
+            return 0;
+        }
+    }
+
+    /** Rolls back. */
+    @Command(name = "rollback", mixinStandardHelpOptions = true, description = {
+        "Checks a version and puts its texts in place of the files, whole or not at all each. The relay takes"
+            ,
+        "them on SIGHUP or at its next start, and that is a new version. One that is not sound is refused."})
+    static final class Rollback implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Where where;
+
+        @Parameters(index = "0", paramLabel = "N", description = "the version")
+        private long number;
+
+        @Option(names = "--config", paramLabel = "FILE", required = true,
+            description = "the configuration file to replace")
+        private Path config;
+
+        @Option(names = "--keep-settings", description = "replace the configuration only")
+        private boolean keepSettings;
+
+        @Override
+        public Integer call() throws IOException, MalformedException {
+            History.Version version = where.find(number);
+            Configuration.of(version.configuration());
+            OperatorSettings settings = OperatorSettings.of("version " + number, version.settings());
+            if (!keepSettings && settings.keeping().isEmpty()) {
+                throw new MalformedException("version " + number
+                    + ": its settings keep no history; give --keep-settings");
+            }
+            replace(config, version.configuration());
+            if (!keepSettings) {
+                replace(where.file, version.settings());
+            }
+            System.out.println("version " + number + " is in " + config + (keepSettings ? "" : " and "
+                + where.file) + "; send SIGHUP to the relay");
+            return 0;
+        }
+
+        private static void replace(Path file, String text) throws IOException {
+            Path next = file.resolveSibling(file.getFileName() + ".next");
+            Files.writeString(next, text);
+            try (FileChannel written = FileChannel.open(next, StandardOpenOption.WRITE)) {
+                written.force(true);
+            }
+            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+        }
+    }
+}
--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -27,6 +27,7 @@
 @Command(name = "saltstage", description = "A relay for long-lived connections.",
     mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
     subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, StoreCommand.class,
+        ConfigCommand.class,
         Main.ShowVersion.class,
         CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
@@ -108,7 +109,7 @@
         public Integer call() throws MalformedException, IOException, InterruptedException {
             OperatorSettings chosen = settings.read();
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
-            Program program = new Program(config.read());
+            Program program = new Program(config.read(), chosen);
             // The JVM's own handler ends the process on SIGHUP: all connections would die with it.
             Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read, settings::read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Semaphore;
 import saltstage.config.Configuration;
 import saltstage.config.OperatorSettings;
+import saltstage.keep.Keeper;
 import saltstage.log.Log;
 import saltstage.log.LogSetup;
 import saltstage.memory.MonotonicClock;
@@ -27,7 +28,11 @@
     private static final int BEATS_PER_DELAYS = 2;
     private static final int BEATS_PER_TOTALS = 20;
 
+    private static final Duration LAST_WRITE = Duration.ofMillis(200);
+
     private final Configuration config;
+    private final OperatorSettings operator;
+    private final Keeper keeper;
     private final MonotonicClock clock = new MonotonicClock();
     private final Timers timers = new Timers(clock);
     private final Peers peers = new Peers();
@@ -51,8 +56,10 @@
         OperatorSettings read() throws MalformedException;
     }
 
-    Program(Configuration config) {
+    Program(Configuration config, OperatorSettings operator) {
         this.config = config;
+        this.operator = operator;
+        keeper = operator.keeping().map(keeping -> Keeper.open(keeping, clock::now)).orElse(null);
         chain = new Chain(config, clock, timers, peers, watchWanted::release);
         discoveryAddress = config.discovery();
         discovery = new DiscoveryClient(discoveryAddress);
@@ -60,10 +67,16 @@
 
     /** Starts to serve; clients are heard from the return on. */
     void start() throws IOException {
-        peers.update(config.known());
+        HostList known = newestKnown();
+        peers.update(known);
         Threads.loop("timers", () -> timers.next().run());
         Threads.loop("discovery", this::watch);
-        chain.route().start(config.known());
+        chain.route().start(known);
+        if (keeper != null) {
+            keeper.keptLearnt().ifPresent(chain.route()::learn);
+            keeper.accepted(config.text(), operator.text());
+            keeper.start(chain.route()::learnt);
+        }
         synchronized (this) {
             beatDue = clock.now(); // what the start took is no lateness
         }
@@ -76,6 +89,16 @@
             "rev", peers.rev(), "peers", peers.all().size());
     }
 
+    /** The list as the platform remembers it, or as this relay has kept it, whichever is newer. */
+    private HostList newestKnown() {
+        HostList kept = keeper == null ? null : keeper.keptList().orElse(null);
+        boolean newer = kept != null && kept.rev() > config.known().rev();
+        if (kept != null) {
+            Log.info("keep.list", "rev", kept.rev(), "known", config.known().rev(), "taken", newer);
+        }
+        return newer ? kept : config.known();
+    }
+
     /**
      * SIGHUP: reads the configuration anew. Discovery is watched at its new address at once, resumed after
      * what was heard: the old address may go on answering for a while, but what it does not tell any more
@@ -94,6 +117,9 @@
                 watchWanted.release();
             }
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
+            if (keeper != null) {
+                keeper.accepted(read.text(), chosen.text());
+            }
             Log.info("reload.done", "discovery", discoveryAddress, "restart_for", later);
         } catch (MalformedException | RuntimeException bad) {
             Log.warn("reload.refused", "why", bad.getMessage());
@@ -103,6 +129,9 @@
     /** SIGTERM: moves all clients and returns when none is left, or when time is up. */
     void drain() {
         new Drain(clock, chain, config.longestGiveUp(), lateness()).run();
+        if (keeper != null) {
+            keeper.close(LAST_WRITE);
+        }
     }
 
     /**
@@ -130,7 +159,11 @@
             chain.tellDelays();
         }
         if (beats % BEATS_PER_TOTALS == 0) {
-            chain.logTotals();
+            if (keeper == null) {
+                chain.logTotals();
+            } else {
+                chain.logTotals("store", keeper.state());
+            }
         }
     }
 
@@ -154,5 +187,8 @@
 
     private void heard(HostList list) {
         chain.listed(peers.update(list), list);
+        if (keeper != null) {
+            keeper.listed(peers.list());
+        }
     }
 }
--- a/relay/src/main/java/saltstage/memory/Peers.java
+++ b/relay/src/main/java/saltstage/memory/Peers.java
@@ -29,6 +29,11 @@
         return peers.values();
     }
 
+    /** The whole list as it is now. */
+    public synchronized HostList list() {
+        return new HostList(rev, true, peers.values().stream().map(Peer::entry).toList());
+    }
+
     /** Takes a list or a change of it; returns the processes that have ended by it. */
     public synchronized List<Peer> update(HostList list) {
         rev = list.rev();
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
 import saltstage.Api.Outcome;
 import saltstage.config.Configuration;
@@ -195,10 +196,13 @@
     }
 
     /** Writes the totals to the log. */
-    void logTotals(int clients, int standing) {
+    void logTotals(int clients, int standing, Object... more) {
         Runtime jvm = Runtime.getRuntime();
-        Log.info("totals", "clients", clients, "standing", standing, "taken", taken, "stood", stood,
+        Object[] pairs = {"clients", clients, "standing", standing, "taken", taken, "stood", stood,
             "rejected", rejected, "failed", failed, "left", left, "resets", resets,
-            "heap_kb", (jvm.totalMemory() - jvm.freeMemory()) >> 10);
+            "heap_kb", (jvm.totalMemory() - jvm.freeMemory()) >> 10};
+        Object[] all = Arrays.copyOf(pairs, pairs.length + more.length);
+        System.arraycopy(more, 0, all, pairs.length, more.length);
+        Log.info("totals", all);
     }
 }
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -105,9 +105,9 @@
         book.tellDelays();
     }
 
-    /** Writes the totals to the log. */
-    public void logTotals() {
-        book.logTotals(takeIn.clients(), relay.standing().size());
+    /** Writes the totals to the log, with these names and values behind them. */
+    public void logTotals(Object... more) {
+        book.logTotals(takeIn.clients(), relay.standing().size(), more);
     }
 
     /** The relay leaves: what still waits is rejected, and may come again elsewhere at once. */
--- a/relay/src/main/java/saltstage/stage/Route.java
+++ b/relay/src/main/java/saltstage/stage/Route.java
@@ -150,6 +150,21 @@
         feed((logic, now) -> logic.probed(now, uid, outcome, asked));
     }
 
+    /** What the module has learnt, as plain data. */
+    public Api.Learnt learnt() {
+        lock.lock();
+        try {
+            return logic.learnt(toModule(clock.now()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Gives the module what one before it had learnt. */
+    public void learn(Api.Learnt known) {
+        feed((logic, now) -> logic.learn(now, known));
+    }
+
     /** All contexts, for the end of the relay. */
     public List<RequestContext> all() {
         return List.copyOf(contexts.values());
--- a/relay/src/main/java/saltstage/store/LogWriter.java
+++ b/relay/src/main/java/saltstage/store/LogWriter.java
@@ -10,8 +10,11 @@
     private static final int KEPT_BUFFER = 1 << 20;
     private static final byte[] ZEROS = new byte[64 << 10];
 
-    /** A segment made ready beforehand: filled, durable, and of no name that counts yet. */
-    record Spare(long id, String name, Disk.File file, long size) { }
+    /**
+     * A segment made ready beforehand: filled, durable, and without a number. It gets that when it is begun:
+     * the log is read in the order of its segments' numbers, and others may have begun meanwhile.
+     */
+    record Spare(String name, Disk.File file, long size) { }
 
     private final Core core;
     private ByteBuffer buffer = ByteBuffer.allocateDirect(64 << 10);
@@ -191,15 +194,16 @@
     }
 
     private void begin(Spare ready) throws IOException {
-        Frames.Header header = new Frames.Header(Frames.LOG_SEGMENT, core.manifest.store(), ready.id(),
-            ready.size(), core.nextSeq);
+        long id = core.nextId++;
+        Frames.Header header = new Frames.Header(Frames.LOG_SEGMENT, core.manifest.store(), id, ready.size(),
+            core.nextSeq);
         ByteBuffer out = Frames.header(header);
         if (ready.file().write(out, 0) < Frames.HEADER) {
             throw new IOException("short write of a header");
         }
         ready.file().force();
         ready.file().close(); // it is opened anew by the name that it keeps: an open file knows where it is
-        String name = Segment.name(ready.id(), Frames.LOG_SEGMENT);
+        String name = Segment.name(id, Frames.LOG_SEGMENT);
         core.disk.rename(ready.name(), name);
         core.disk.syncDirectory(); // a manifest must not be durable before the names that are in it
         Segment next = new Segment(core.disk, name, core.disk.open(name, true), header);
@@ -261,9 +265,9 @@
                 at += bytes;
             }
             file.force();
-            return new Spare(id, name, file, size);
+            return new Spare(name, file, size);
         } catch (IOException e) {
-            drop(new Spare(id, name, file, size));
+            drop(new Spare(name, file, size));
             throw e;
         }
     }
--- a/relay/src/main/java/saltstage/store/Recovery.java
+++ b/relay/src/main/java/saltstage/store/Recovery.java
@@ -65,7 +65,7 @@
                 try (Disk.File file = core.disk.open(name, false)) {
                     Frames.Header header = readHeader(name, file);
                     Segment segment = new Segment(core.disk, name, file, header);
-                    if (new SegmentReader(segment).at(Frames.HEADER) != null || header.id() != 1
+                    if (new SegmentReader(segment).at(Frames.HEADER) != null || header.baseSeq() != 1
                         || !new SegmentReader(segment).tail(Frames.HEADER, 1).evidence().restIsZero()) {
                         throw new StoreException.Damaged(Manifest.NAME, 0, "the file is missing, but " + name
                             + " holds records");
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/KeepTest.java
@@ -0,0 +1,164 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import saltstage.keep.History;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.store.StoreEvents;
+
+/** The relay killed and started anew: what it kept is back, and a store that is lost costs nothing else. */
+public class KeepTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    private Path settings;
+    private Path dir;
+
+    @Before
+    public void write() throws IOException {
+        dir = folder.getRoot().toPath().resolve("state");
+        settings = folder.getRoot().toPath().resolve("saltstage.hcl");
+        Files.writeString(settings, "store {\n  dir = \"" + dir + "\"\n  every = \"100ms\"\n}\n");
+    }
+
+    private static String tool(int exit, String... words) throws Exception {
+        Process process = World.launch(words);
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(out, exit, process.waitFor());
+        return out;
+    }
+
+    private boolean kept(String key) {
+        try (Store store = Store.openToRead(new FileDisk(dir), StoreEvents.NONE)) {
+            return store.get(key.getBytes(StandardCharsets.UTF_8)) != null;
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    @Test
+    public void aKilledRelayStartsFromTheListItHadHeardAndWhatItHadLearnt() throws Exception {
+        try (World world = new World()) {
+            World.Service backend = world.backend();
+            String config = world.config(512, World.list(1, true));
+            world.startWith(config, settings);
+            world.watched(World.list(41, true, World.target("s1", backend.endpoint(), "ready")));
+            World.await("the list is known", () -> world.logged("discovery.list rev=41"));
+            world.stand(backend, world.open("a1", 5_000));
+            World.await("the list and what was learnt are kept",
+                () -> kept("list/target/s1") && kept("learnt"));
+            world.kill();
+
+            world.startWith(config, settings); // the platform knows an empty list; discovery says nothing
+            assertTrue(world.logged("keep.list rev=41 known=1 taken=true"));
+            assertTrue(world.log.toString(), world.logged("keep.learnt age_s="));
+            assertTrue(world.logged("servers=1 taken=true"));
+            assertTrue(world.logged("relay.ready name=n0") && world.logged("rev=41 peers=1"));
+            world.stand(backend, world.open("a2", 5_000));
+        }
+    }
+
+    @Test
+    public void aNewerListOfThePlatformWins() throws Exception {
+        try (World world = new World()) {
+            World.Service backend = world.backend();
+            world.startWith(world.config(512, World.list(1, true)), settings);
+            world.watched(World.list(41, true, World.target("s1", "127.0.0.1:1", "ready")));
+            World.await("the list is kept", () -> kept("list/target/s1"));
+            world.kill();
+            world.startWith(world.config(512,
+                World.list(50, true, World.target("s2", backend.endpoint(), "ready"))), settings);
+            assertTrue(world.logged("keep.list rev=41 known=50 taken=false"));
+            world.stand(backend, world.open("a1", 5_000));
+        }
+    }
+
+    @Test
+    public void whatIsTooOldIsLeftOut() throws Exception {
+        Files.writeString(settings, "store {\n  dir = \"" + dir + "\"\n  every = \"100ms\"\n"
+            + "  learnt_for = \"1s\"\n}\n");
+        try (World world = new World()) {
+            World.Service backend = world.backend();
+            String config = world.config(512, World.list(1, true,
+                World.target("s1", backend.endpoint(), "ready")));
+            world.startWith(config, settings);
+            world.stand(backend, world.open("a1", 5_000));
+            World.await("something learnt is kept", () -> kept("learnt"));
+            world.kill();
+            Thread.sleep(2_100); // two of the bounds: the age is what is tested
+            world.startWith(config, settings);
+            assertTrue(world.log.toString(), world.logged("servers=1 taken=false"));
+        }
+    }
+
+    @Test
+    public void acceptedConfigurationsAreKeptShownAndBroughtBack() throws Exception {
+        try (World world = new World()) {
+            String first = world.config(512, World.list(1, true));
+            world.startWith(first, settings);
+            World.await("the first is kept", () -> kept("config/0000000000000001"));
+            String second = first.replace("\"rev\":1", "\"rev\":2");
+            world.reload(second);
+            World.await("the second is kept", () -> kept("config/0000000000000002"));
+            world.reload("{}");
+            World.await("the bad one is refused", () -> world.logged("reload.refused"));
+            String s = settings.toString();
+            List<String> lines = tool(0, "config", "history", "--settings", s).lines().toList();
+            assertEquals(2, lines.size());
+            assertTrue(lines.get(1),
+                lines.get(1).matches("2 \\S+ [0-9a-f]{32} configuration=\\d+ settings=\\d+"));
+            assertEquals(first, tool(0, "config", "show", "1", "--settings", s));
+            String file = world.configFile().toString();
+            tool(0, "config", "rollback", "1", "--settings", s, "--config", file);
+            assertEquals(first, Files.readString(world.configFile()));
+            world.reload(first);
+            World.await("the rollback is a new version", () -> kept("config/0000000000000003"));
+            assertEquals("saltstage: there is no version 9\n",
+                tool(1, "config", "rollback", "9", "--settings", s, "--config", file));
+            assertEquals(first, Files.readString(world.configFile()));
+        }
+        try (Store store = Store.openToRead(new FileDisk(dir), StoreEvents.NONE)) {
+            List<History.Version> all = History.all(store);
+            assertEquals(3, all.size());
+            assertEquals(all.get(0).hash(), all.get(2).hash());
+        }
+    }
+
+    @Test
+    public void aDamagedStoreIsToldAndTheRelayServes() throws Exception {
+        Files.createDirectories(dir);
+        Files.writeString(dir.resolve("manifest"), "rubbish");
+        serveWithout("keep.lost dir=" + dir + " why=\"damaged: manifest at ");
+    }
+
+    @Test
+    public void aStoreInUseIsToldAndTheRelayServes() throws Exception {
+        try (Store held = Store.open(FileDisk.at(dir), saltstage.store.StoreOptions.usual(),
+            StoreEvents.NONE)) {
+            serveWithout("keep.lost dir=" + dir + " why=\"the store is open in another process\"");
+            assertTrue(held.writable());
+        }
+    }
+
+    private void serveWithout(String told) throws Exception {
+        try (World world = new World()) {
+            World.Service backend = world.backend();
+            world.startWith(world.config(512, World.list(1, true,
+                World.target("s1", backend.endpoint(), "ready"))), settings);
+            assertTrue(world.log.toString(), world.logged(told));
+            world.stand(backend, world.open("a1", 5_000));
+            World.await("the totals tell", () -> world.logged("store=LOST"));
+        }
+    }
+}
--- a/relay/src/test/java/saltstage/process/World.java
+++ b/relay/src/test/java/saltstage/process/World.java
@@ -153,10 +153,18 @@
     }
 
     World startWith(String config) throws Exception {
-        file = Files.createTempFile("saltstage", ".json");
-        toClose.add(() -> Files.delete(file));
+        return startWith(config, null);
+    }
+
+    /** Starts the relay with this configuration and the operator's settings, if there are any. */
+    World startWith(String config, Path settings) throws Exception {
+        if (file == null) {
+            file = Files.createTempFile("saltstage", ".json");
+            toClose.add(() -> Files.delete(file));
+        }
         Files.writeString(file, config);
-        process = launch("serve", "--config", file.toString());
+        process = settings == null ? launch("serve", "--config", file.toString())
+            : launch("serve", "--config", file.toString(), "--settings", settings.toString());
         Thread reader = new Thread(() -> drainLog(process), "log");
         reader.setDaemon(true);
         reader.start();
@@ -164,6 +172,16 @@
         return this;
     }
 
+    /** Kills the relay outright; what it had logged is forgotten. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+        log.clear();
+    }
+
+    Path configFile() {
+        return file;
+    }
+
     /** Replaces the configuration and tells the relay so. */
     void reload(String config) throws Exception {
         Files.writeString(file, config);
--- a/relay/src/test/java/saltstage/store/CrashTest.java
+++ b/relay/src/test/java/saltstage/store/CrashTest.java
@@ -118,6 +118,27 @@
         assertTrue(stopped > operations / 2, "stopped in " + stopped);
     }
 
+    /** Seen when a loader was killed: the log was read in an order in which it had not been written. */
+    @Test
+    void aSpareThatWasBegunBeforeAnotherSegmentDoesNotComeBeforeIt() throws IOException {
+        FaultDisk disk = new FaultDisk();
+        Core core = new Core(disk, Night.SMALL, StoreEvents.NONE);
+        new Recovery(core, true).run();
+        LogWriter writer = new LogWriter(core);
+        GroupCommit commits = new GroupCommit(writer::write);
+        disk.beforeNextCreate(() -> {
+            writer.roll(Frames.HEAD);
+            return null;
+        });
+        writer.prepareSpare();
+        commits.commit(new Batch().put(Night.bytes("a"), Night.bytes("1")));
+        writer.roll(Frames.HEAD);
+        commits.commit(new Batch().put(Night.bytes("a"), Night.bytes("2")));
+        TreeMap<String, String> wanted = new TreeMap<>();
+        wanted.put("a", "2");
+        assertEquals(wanted, Night.dump(new Night().open(disk.copy()).store));
+    }
+
     /** The page cache forgets what a force could not write: a second one that succeeds means nothing. */
     @Test
     void aFailedForceStopsAcknowledgingForGood() throws IOException {
--- a/relay/src/test/java/saltstage/store/FaultDisk.java
+++ b/relay/src/test/java/saltstage/store/FaultDisk.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.Callable;
 
 /**
  * A disk in memory that crashes, fails, falls short and fills at any single operation. What is not forced
@@ -57,6 +58,12 @@
     private int faultAt = Integer.MAX_VALUE;
     private Fault fault = Fault.CRASH;
     private boolean full;
+    /** Done once, before the next file is made: what another thread does meanwhile. */
+    private Callable<Void> beforeCreate;
+
+    void beforeNextCreate(Callable<Void> what) {
+        beforeCreate = what;
+    }
 
     /** From the next operation on they count from 0; at this one the fault happens. */
     void arm(int at, Fault what) {
@@ -163,6 +170,15 @@
 
     @Override
     public synchronized File create(String name) throws IOException {
+        if (beforeCreate != null) {
+            Callable<Void> meanwhile = beforeCreate;
+            beforeCreate = null;
+            try {
+                meanwhile.call();
+            } catch (Exception e) {
+                throw new IOException(e);
+            }
+        }
         faultNow();
         if (full) {
             throw new FullException("no room for " + name);
