Give compacted space back at once, keep refused groups within their room, fuzz files

Cause, read in the code and shown by new tests: a compacted file whose last reader left before it was marked stayed on the disk until the next start (345,880 bytes on the disk, 18,008 counted); a group whose large part was refused could be mirrored past the segment's end, which the next start then refused.

--- a/lab/src/main/java/saltstage/lab/Home.java
+++ b/lab/src/main/java/saltstage/lab/Home.java
@@ -9,6 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
 
 /** Where the built relay is, and how it is met. */
 public final class Home {
@@ -55,6 +58,17 @@
         throw new IOException("the relay did not answer PING within " + most.toMillis() + " ms");
     }
 
+    /** Deletes a folder with all that is in it. */
+    public static void delete(Path dir) throws IOException {
+        List<Path> files;
+        try (Stream<Path> below = Files.walk(dir)) {
+            files = below.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path file : files) {
+            Files.delete(file);
+        }
+    }
+
     /** The folder where measurements are kept. */
     public static Path measurements() throws IOException {
         return Files.createDirectories(root().resolve("docs/measurements"));
--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -5,12 +5,15 @@
 import picocli.CommandLine.Command;
 import saltstage.lab.fleet.DemoCommand;
 import saltstage.lab.fleet.FleetCommand;
+import saltstage.lab.measure.RestartCommand;
 import saltstage.lab.measure.StartupCommand;
+import saltstage.lab.store.StoreBench;
 
 /** The laboratory's command line. */
 @Command(name = "lab", description = "Stand-ins, load and measurements for saltstage; never in service.",
     mixinStandardHelpOptions = true,
-    subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class,
+    subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, StoreBench.class,
+        RestartCommand.class,
         CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
--- a/lab/src/main/java/saltstage/lab/fleet/DemoCommand.java
+++ b/lab/src/main/java/saltstage/lab/fleet/DemoCommand.java
@@ -5,11 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import saltstage.lab.Home;
@@ -74,12 +71,6 @@
                 relay.destroyForcibly().waitFor();
             }
         }
-        List<Path> files;
-        try (Stream<Path> below = Files.walk(dir)) {
-            files = below.sorted(Comparator.reverseOrder()).toList();
-        }
-        for (Path file : files) {
-            Files.delete(file);
-        }
+        Home.delete(dir);
     }
 }
--- a/lab/src/main/java/saltstage/lab/fleet/Discovery.java
+++ b/lab/src/main/java/saltstage/lab/fleet/Discovery.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -18,6 +19,7 @@
     private final ServerSocket listener;
     private long rev = 1;
     private String change = "";
+    private volatile Duration late = Duration.ZERO;
 
     /** Discovery of these gateways, listening on a free port of loopback. */
     public Discovery(List<Gateway> gateways) throws IOException {
@@ -45,6 +47,7 @@
             for (String line = request; line != null && !line.isEmpty();) {
                 line = in.readLine();
             }
+            Thread.sleep(late.toMillis());
             if (request == null || !request.startsWith("GET /discovery/hosts")) {
                 say(socket, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
             } else if (request.contains("watch=1")) {
@@ -98,6 +101,11 @@
                 .collect(Collectors.joining(",")) + "]}";
     }
 
+    /** From now on each call is answered that much later. */
+    void late(Duration by) {
+        late = by;
+    }
+
     /** Where it listens, as the configuration has it. */
     public String address() {
         return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
--- a/lab/src/main/java/saltstage/lab/fleet/Fleet.java
+++ b/lab/src/main/java/saltstage/lab/fleet/Fleet.java
@@ -39,6 +39,11 @@
         return List.copyOf(gateways);
     }
 
+    /** From now on discovery answers each call that much later. */
+    public void discoveryLate(Duration by) {
+        discovery.late(by);
+    }
+
     /** Writes config.json and saltstage.hcl into the folder; settings lines go into the latter. */
     public void writeFiles(Path dir, String settings) throws IOException {
         Files.createDirectories(dir);
--- a/lab/src/main/java/saltstage/lab/measure/StartupCommand.java
+++ b/lab/src/main/java/saltstage/lab/measure/StartupCommand.java
@@ -37,6 +37,9 @@
     @Option(names = "--flags", description = "for each jar, further JVM flags, given once a jar")
     private List<String> flags = List.of();
 
+    @Option(names = "--store", description = "with a store of its own that has kept a list before")
+    private boolean store;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         List<Path> all = jars.isEmpty() ? List.of(Home.jar()) : jars;
@@ -65,7 +68,7 @@
     private long[] once(Path jar, String more) throws IOException, InterruptedException {
         Path dir = Files.createTempDirectory("saltstage-startup");
         Fleet fleet = new Fleet(12);
-        fleet.writeFiles(dir, "");
+        fleet.writeFiles(dir, "store {\n  dir = \"" + dir.resolve("state") + "\"\n}\n");
         List<String> command = new ArrayList<>(List.of("taskset", "-c", "1", "java"));
         command.addAll(jvm);
         if (!more.isBlank()) {
@@ -73,12 +76,18 @@
         }
         command.addAll(List.of("-jar", jar.toString(), "serve", "--config",
             dir.resolve("config.json").toString()));
+        if (store) {
+            command.addAll(List.of("--settings", dir.resolve("saltstage.hcl").toString()));
+            Process before = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(dir.resolve("log").toFile()).start();
+            Home.awaitPong(address(fleet), before, Duration.ofSeconds(30));
+            Thread.sleep(1_000); // the list is heard and kept within that
+            before.destroyForcibly().waitFor();
+        }
         Process relay = new ProcessBuilder(command).redirectErrorStream(true)
             .redirectOutput(dir.resolve("log").toFile()).start();
         try {
-            String[] at = fleet.listen().split(":");
-            Duration wall = Home.awaitPong(new InetSocketAddress(at[0], Integer.parseInt(at[1])), relay,
-                Duration.ofSeconds(30));
+            Duration wall = Home.awaitPong(address(fleet), relay, Duration.ofSeconds(30));
             Path proc = Path.of("/proc", Long.toString(relay.pid()));
             String stat = Files.readString(proc.resolve("stat"));
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
@@ -89,10 +98,12 @@
             return new long[] {wall.toMillis(), cpu, resident};
         } finally {
             relay.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
-            for (String name : List.of("config.json", "saltstage.hcl", "log")) {
-                Files.delete(dir.resolve(name));
-            }
-            Files.delete(dir);
+            Home.delete(dir);
         }
     }
+
+    private static InetSocketAddress address(Fleet fleet) {
+        String[] at = fleet.listen().split(":");
+        return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+    }
 }
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/store/StoreBench.java
@@ -0,0 +1,257 @@
+package saltstage.lab.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Stream;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.lab.Home;
+import saltstage.store.Batch;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.store.StoreEvents;
+import saltstage.store.StoreOptions;
+
+/** Measurements of the store; results go to docs/measurements as CSV, table and chart. */
+@Command(name = "store", mixinStandardHelpOptions = true, description = "Measures the embedded store.",
+    subcommands = {StoreBench.Commits.class, StoreBench.Recovery.class, StoreBench.Compaction.class})
+public final class StoreBench implements Callable<Integer> {
+    private static final int VALUE = 128;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    static byte[] key(long n) {
+        return ByteBuffer.allocate(16).putLong(0x9e3779b97f4a7c15L * n).putLong(n).array();
+    }
+
+    static byte[] value(long n) {
+        byte[] value = new byte[VALUE];
+        Arrays.fill(value, (byte) n);
+        ByteBuffer.wrap(value).putLong(n);
+        return value;
+    }
+
+    static long median(List<Long> figures) {
+        return figures.stream().sorted().skip(figures.size() / 2).findFirst().orElseThrow();
+    }
+
+    private interface Step {
+        void run(long n) throws Exception;
+    }
+
+    /** Runs so many writers for this time; returns the steps done a second. */
+    private static long rate(int writers, double seconds, Histogram latency, Step step) throws Exception {
+        LongAdder done = new LongAdder();
+        AtomicReference<Exception> failed = new AtomicReference<>();
+        long start = System.nanoTime();
+        long until = start + (long) (seconds * 1e9);
+        List<Thread> threads = new ArrayList<>();
+        for (int w = 0; w < writers; w++) {
+            SplittableRandom random = new SplittableRandom(w + 1);
+            threads.add(new Thread(() -> {
+                try {
+                    for (long at = System.nanoTime(); at < until && failed.get() == null;) {
+                        step.run(random.nextLong(100_000));
+                        long now = System.nanoTime();
+                        if (latency != null) {
+                            latency.recordValue((now - at) / 1_000);
+                        }
+                        at = now;
+                        done.increment();
+                    }
+                } catch (Exception e) {
+                    failed.set(e);
+                }
+            }));
+        }
+        threads.forEach(Thread::start);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        if (failed.get() != null) {
+            throw failed.get();
+        }
+        return Math.round(done.sum() / ((System.nanoTime() - start) / 1e9));
+    }
+
+    /** Durable commits a second, engines in turn. */
+    @Command(name = "commits", mixinStandardHelpOptions = true,
+        description = "Durable commits a second of 128-byte values, against other engines on the same disk.")
+    static final class Commits implements Callable<Integer> {
+        @Option(names = "--dir", required = true, description = "a new folder on the disk to measure")
+        private Path dir;
+
+        @Option(names = "--rounds", defaultValue = "5", description = "rounds of all engines in turn (5)")
+        private int rounds;
+
+        @Option(names = "--seconds", defaultValue = "1.5", description = "of each run (1.5)")
+        private double seconds;
+
+        @Override
+        public Integer call() throws Exception {
+            int[] writers = {1, 8, 64};
+            Map<String, List<Long>> rates = new LinkedHashMap<>();
+            for (int round = 0; round < rounds; round++) {
+                for (int n : writers) {
+                    for (Engine.Kind kind : Engine.Kind.values()) {
+                        Path at = dir.resolve(kind + "-" + n + "-" + round);
+                        try (Engine engine = kind.open(at)) {
+                            long rate = rate(n, seconds, null, k -> engine.put(key(k), value(k)));
+                            rates.computeIfAbsent(kind + " " + n, k -> new ArrayList<>()).add(rate);
+                        }
+                        Home.delete(at);
+                    }
+                }
+                System.err.println("round " + (round + 1) + " of " + rounds);
+            }
+            Report report = new Report("store-commits", "engine", "writers", "median", "least", "most",
+                "to growing file");
+            for (int n : writers) {
+                long limit = median(rates.get(Engine.Kind.RAW_GROWING + " 1"));
+                for (Engine.Kind kind : Engine.Kind.values()) {
+                    List<Long> all = rates.get(kind + " " + n);
+                    report.row(kind.title(), n, median(all), all.stream().min(Long::compare).get(),
+                        all.stream().max(Long::compare).get(),
+                        String.format("%.2f", (double) median(all) / limit));
+                }
+            }
+            report.bars("durable commits a second, 128-byte values", "writers", "commits/s", 0, 1, 2);
+            report.write(Home.measurements());
+            return 0;
+        }
+    }
+
+    /** Opening and memory. */
+    @Command(name = "recovery", mixinStandardHelpOptions = true,
+        description = "Time to open and bytes of heap a key, from a checkpoint and from the log alone.")
+    static final class Recovery implements Callable<Integer> {
+        @Option(names = "--dir", required = true, description = "a new folder on the disk to measure")
+        private Path dir;
+
+        @Option(names = "--keys", split = ",", defaultValue = "1000000,5000000", description = "sizes")
+        private List<Integer> sizes;
+
+        @Override
+        public Integer call() throws Exception {
+            Report report = new Report("store-recovery", "keys", "from", "open in ms", "heap bytes a key",
+                "files in MiB");
+            StoreOptions byHand = new StoreOptions(64 << 20, false, 1 << 30);
+            for (int keys : sizes) {
+                Path at = dir.resolve("keys-" + keys);
+                for (boolean checkpoint : new boolean[] {false, true}) {
+                    if (!checkpoint) {
+                        load(at, keys, byHand);
+                    }
+                    long before = heap();
+                    long start = System.nanoTime();
+                    Store store = Store.open(FileDisk.at(at), byHand, StoreEvents.NONE);
+                    long millis = (System.nanoTime() - start) / 1_000_000;
+                    long bytes = heap() - before;
+                    if (store.stat().live() != keys) {
+                        throw new IOException(store.stat().live() + " keys came back of " + keys);
+                    }
+                    report.row(keys, checkpoint ? "checkpoint" : "log", millis,
+                        String.format("%.1f", (double) bytes / keys), store.stat().fileBytes() >> 20);
+                    if (!checkpoint) {
+                        store.checkpoint();
+                    }
+                    store.close();
+                }
+                Home.delete(at);
+            }
+            report.write(Home.measurements());
+            return 0;
+        }
+
+        private static void load(Path at, int keys, StoreOptions options) throws IOException {
+            Store store = Store.open(FileDisk.at(at), options, StoreEvents.NONE);
+            for (int i = 0; i < keys;) {
+                Batch batch = new Batch();
+                for (int end = Math.min(keys, i + 1_000); i < end; i++) {
+                    batch.put(key(i), value(i));
+                }
+                store.commit(batch);
+            }
+            Path copy = at.resolveSibling(at.getFileName() + "-copy");
+            Files.createDirectories(copy);
+            try (Stream<Path> files = Files.list(at)) { // as a crash leaves it: closing writes a checkpoint
+                for (Path file : files.toList()) {
+                    Files.copy(file, copy.resolve(file.getFileName()));
+                }
+            }
+            store.close();
+            Home.delete(at);
+            Files.move(copy, at);
+        }
+
+        private static long heap() {
+            for (int i = 0; i < 3; i++) {
+                System.gc();
+            }
+            return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        }
+    }
+
+    /** Stalls and amplification. */
+    @Command(name = "compaction", mixinStandardHelpOptions = true,
+        description = "Commit latency and bytes written while 100,000 keys are overwritten, with and without "
+            + "compaction beside.")
+    static final class Compaction implements Callable<Integer> {
+        @Option(names = "--dir", required = true, description = "a new folder on the disk to measure")
+        private Path dir;
+
+        @Option(names = "--seconds", defaultValue = "20", description = "of each run (20)")
+        private double seconds;
+
+        @Override
+        public Integer call() throws Exception {
+            Report report = new Report("store-compaction", "writers", "compaction", "commits/s", "p50 us",
+                "p99 us", "p99.9 us", "most ms", "copied a byte", "files in MiB");
+            for (int writers : new int[] {1, 8, 64}) {
+                for (boolean beside : new boolean[] {false, true}) {
+                    Path at = dir.resolve("c-" + writers + beside);
+                    Histogram latency = new ConcurrentHistogram(3);
+                    StoreOptions options = new StoreOptions(8 << 20, beside, 32L << 20);
+                    try (Store store = Store.open(FileDisk.at(at), options, StoreEvents.NONE)) {
+                        for (long i = 0; i < 100_000;) {
+                            Batch batch = new Batch();
+                            for (long end = i + 1_000; i < end; i++) {
+                                batch.put(key(i), value(i));
+                            }
+                            store.commit(batch);
+                        }
+                        long rate = rate(writers, seconds, latency, k -> store.put(key(k), value(k)));
+                        double user = rate * seconds * (VALUE + 16);
+                        report.row(writers, beside ? "on" : "off", rate, latency.getValueAtPercentile(50),
+                            latency.getValueAtPercentile(99), latency.getValueAtPercentile(99.9),
+                            String.format("%.1f", latency.getMaxValue() / 1e3),
+                            String.format("%.2f", store.copied() / user), store.stat().fileBytes() >> 20);
+                    }
+                    Home.delete(at);
+                }
+            }
+            report.write(Home.measurements());
+            return 0;
+        }
+    }
+}
--- a/relay/src/main/java/saltstage/keep/Keeper.java
+++ b/relay/src/main/java/saltstage/keep/Keeper.java
@@ -60,10 +60,18 @@
 
     /** Opens the store; where that fails, it is told, and what is handed over is dropped. */
     public static Keeper open(Keeping settings, Supplier<Instant> clock) {
+        return open(settings, clock, () -> FileDisk.at(settings.dir()));
+    }
+
+    /** Where the files are. */
+    interface Place {
+        Disk find() throws IOException;
+    }
+
+    static Keeper open(Keeping settings, Supplier<Instant> clock, Place place) {
         Keeper keeper = new Keeper(settings, clock);
         try {
-            Disk disk = FileDisk.at(settings.dir());
-            keeper.store = Store.open(disk,
+            keeper.store = Store.open(place.find(),
                 new StoreOptions(settings.segmentBytes(), true, settings.compactionRate()), Log::warn);
         } catch (IOException | RuntimeException e) {
             keeper.lose(e);
@@ -190,11 +198,20 @@
                 last = await();
                 round();
             }
-            store.close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException | RuntimeException | Error e) { // the relay must not be told by its absence
             lose(e instanceof Exception known ? known : new IllegalStateException(e));
+        } finally {
+            closeStore();
+        }
+    }
+
+    private void closeStore() {
+        try {
+            store.close();
+        } catch (IOException e) {
+            lose(e);
         }
     }
 
--- a/relay/src/main/java/saltstage/store/Frames.java
+++ b/relay/src/main/java/saltstage/store/Frames.java
@@ -63,6 +63,15 @@
         return (bytes + ALIGN - 1) & -ALIGN;
     }
 
+    /**
+     * Room that a group of at most this size takes with what comes behind it. A group that turns out smaller
+     * than it might have been may be mirrored where the largest would only have been marked.
+     */
+    static int room(int mostTotal) {
+        int mirrored = Math.min(mostTotal, MOST_MIRRORED);
+        return Math.max(mirrored + behind(mirrored), mostTotal + behind(mostTotal));
+    }
+
     /** Room that a group needs behind it for its mirror or mark. */
     static int behind(int groupTotal) {
         return groupTotal <= MOST_MIRRORED ? align(HEAD + MIRROR_HEAD + groupTotal) : MARK_BYTES;
--- a/relay/src/main/java/saltstage/store/LogWriter.java
+++ b/relay/src/main/java/saltstage/store/LogWriter.java
@@ -68,7 +68,7 @@
     private void group(List<Pending> taken, int most) throws StoreException {
         Segment segment = core.active;
         long offset = segment.used();
-        ByteBuffer out = buffer(most + Frames.behind(most));
+        ByteBuffer out = buffer(Frames.room(most));
         int start = Frames.beginFrame(out, Frames.GROUP, 0, core.nextSeq);
         Effects effects = new Effects();
         effects.index = core.view().index();
@@ -175,7 +175,7 @@
     /** Goes on in a new segment with room for such a group; a full disk refuses, and may have room later. */
     void roll(int groupTotal) throws StoreException {
         try {
-            long need = Frames.HEADER + (long) groupTotal + Frames.behind(groupTotal);
+            long need = Frames.HEADER + (long) Frames.room(groupTotal);
             Spare ready = spare != null && spare.size() >= need ? spare
                 : prepare(Math.max(core.options.segmentBytes(), need));
             if (ready == spare) {
--- a/relay/src/main/java/saltstage/store/Maintenance.java
+++ b/relay/src/main/java/saltstage/store/Maintenance.java
@@ -167,6 +167,7 @@
             }
             SegmentSet set = core.view().set();
             core.publish(core.parts(set, dead::contains), ref);
+            dead.forEach(Segment::doom); // before their last reader, who may be the one below, lets go
             core.logSince -= log;
             if (!dead.isEmpty()) {
                 core.show(new Core.View(core.view().index(), set.without(dead), core.view().seq()));
@@ -174,7 +175,6 @@
         } finally {
             core.writing.unlock();
         }
-        dead.forEach(Segment::doom);
         if (before.id() != 0) {
             dropQuietly(before.name());
         }
--- a/relay/src/main/java/saltstage/store/Recovery.java
+++ b/relay/src/main/java/saltstage/store/Recovery.java
@@ -255,6 +255,7 @@
         long at = start;
         SegmentReader reader = new SegmentReader(segment);
         SegmentReader.Found last = null;
+        long restored = -1;
         while (true) {
             SegmentReader.Found found = next(reader, at);
             if (found != null) {
@@ -264,7 +265,8 @@
             }
             SegmentReader.Tail tail = reader.tail(at, nextSeq);
             TailJudge.Verdict verdict = TailJudge.judge(tail.evidence());
-            if (verdict == TailJudge.Verdict.REFUSE) {
+            if (verdict == TailJudge.Verdict.REFUSE || verdict == TailJudge.Verdict.RESTORE
+                && restored == at) {
                 throw new StoreException.Damaged(segment.name(), at, "record " + nextSeq
                     + " was acknowledged and cannot be read");
             }
@@ -273,6 +275,7 @@
                 break;
             }
             core.events.tell("store.restored", "file", segment.name(), "offset", at, "record", nextSeq);
+            restored = at; // a disk that does not take it is not asked for ever
             at = restore(segment, reader, tail.mirror(), at);
             reader = new SegmentReader(segment);
             if (!toWrite) {
--- a/relay/src/main/java/saltstage/store/Segment.java
+++ b/relay/src/main/java/saltstage/store/Segment.java
@@ -68,7 +68,7 @@
     }
 
     boolean fits(int groupTotal) {
-        return used + groupTotal + Frames.behind(groupTotal) <= header.size();
+        return used + Frames.room(groupTotal) <= header.size();
     }
 
     /** Reads the value of an entry that must stand here; whatever else stands here is damage. */
--- a/relay/src/main/java/saltstage/store/Store.java
+++ b/relay/src/main/java/saltstage/store/Store.java
@@ -92,7 +92,11 @@
             } catch (IOException e) { // a writer that needs it will meet the same, and say so
                 core.events.tell("store.spare.failed", "why", e.getMessage());
             }
-            maintenance.tend();
+            try {
+                maintenance.tend();
+            } catch (RuntimeException fault) { // the store serves on, only larger than it need be
+                core.events.tell("store.compaction.failed", "why", fault);
+            }
             wanted = false;
             LockSupport.parkNanos(this, 1_000_000_000L);
         }
@@ -163,6 +167,7 @@
     public Stat stat() throws IOException {
         core.writing.lock();
         try {
+            core.mustBeOpen();
             Core.View now = core.view();
             long files = core.manifest.checkpoint().bytes();
             long live = 0;
--- /dev/null
+++ b/relay/src/test/java/saltstage/PackagesTest.java
@@ -0,0 +1,51 @@
+package saltstage;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Dependencies between packages go one way; a new one has to be named here. */
+class PackagesTest {
+    private static final Path ROOT = Path.of("src/main/java/saltstage");
+    private static final Pattern IMPORT = Pattern.compile("import (?:static )?saltstage\\.([a-z]+)\\.");
+    private static final Map<String, Set<String>> ALLOWED = Map.of(
+        "store", Set.of(),
+        "log", Set.of(),
+        "net", Set.of(),
+        "wire", Set.of(),
+        "config", Set.of("wire", "log"),
+        "memory", Set.of("wire"),
+        "sim", Set.of("config", "wire"),
+        "keep", Set.of("store", "config", "log", "wire"),
+        "stage", Set.of("memory", "wire", "config", "log"));
+
+    @Test
+    void eachPackageImportsOnlyWhatStandsBelowIt() throws IOException {
+        int[] seen = new int[1];
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                String own = ROOT.relativize(file).getNameCount() == 1 ? ""
+                    : ROOT.relativize(file).getName(0).toString();
+                if (own.equals("lifecycle")) {
+                    continue; // on top: it may import all, and nothing may import it
+                }
+                Matcher imports = IMPORT.matcher(Files.readString(file));
+                while (imports.find()) {
+                    seen[0]++;
+                    assertTrue(own.equals(imports.group(1))
+                        || ALLOWED.getOrDefault(own, Set.of()).contains(imports.group(1)),
+                        file + " imports " + imports.group(1));
+                }
+            }
+        }
+        assertTrue(seen[0] > 50, "imports seen: " + seen[0]);
+    }
+}
--- a/relay/src/test/java/saltstage/store/FaultDisk.java
+++ b/relay/src/test/java/saltstage/store/FaultDisk.java
@@ -16,11 +16,11 @@
  * A disk in memory that crashes, fails, falls short and fills at any single operation. What is not forced
  * survives a crash in any part, sector by sector, and unsynced names one by one.
  */
-final class FaultDisk implements Disk {
+public final class FaultDisk implements Disk {
     static final int SECTOR = 512;
 
     /** What happens at the chosen operation. */
-    enum Fault { CRASH, FAIL, SHORT, FULL }
+    public enum Fault { CRASH, FAIL, SHORT, FULL }
 
     /** Thrown at a crash: no code of the store's may go on. */
     static final class Crash extends Error {
@@ -66,19 +66,19 @@
     }
 
     /** From the next operation on they count from 0; at this one the fault happens. */
-    void arm(int at, Fault what) {
+    public void arm(int at, Fault what) {
         operations = 0;
         faultAt = at;
         fault = what;
     }
 
     /** How many operations that change something there were since the disk was armed. */
-    int operations() {
+    public int operations() {
         return operations;
     }
 
     /** There is room again, nothing is armed, and the process that held the lock is dead. */
-    void makeRoom() {
+    public void makeRoom() {
         full = false;
         locked = false;
         faultAt = Integer.MAX_VALUE;
--- a/relay/src/test/java/saltstage/store/Night.java
+++ b/relay/src/test/java/saltstage/store/Night.java
@@ -8,7 +8,7 @@
 import java.util.TreeMap;
 
 /** A fixed run of batches, deletes, checkpoints and compactions, with what was acknowledged of it. */
-final class Night {
+class Night {
     static final StoreOptions SMALL = new StoreOptions(2048, false, 1 << 30);
 
     final List<String> told = new ArrayList<>();
--- /dev/null
+++ b/relay/src/test/java/saltstage/store/StoreFuzzTest.java
@@ -0,0 +1,82 @@
+package saltstage.store;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.code_intelligence.jazzer.junit.FuzzTest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Any bytes in place of any part of any file: refused, or a state of which every pair was once asked for.
+ * {@code JAZZER_FUZZ=1 mvn test -pl relay -Dtest=StoreFuzzTest} searches; CI plays what is known.
+ */
+class StoreFuzzTest {
+    private static final FaultDisk NIGHT = new FaultDisk();
+    private static final Map<String, Set<String>> ASKED = new HashMap<>();
+    private static final List<String> NAMES = new ArrayList<>();
+
+    static {
+        try {
+            new Night() {
+                @Override
+                void commit(String... changes) throws IOException {
+                    for (String change : changes) {
+                        int equals = change.indexOf('=');
+                        if (equals > 0) {
+                            ASKED.computeIfAbsent(change.substring(0, equals), k -> new HashSet<>())
+                                .add(change.substring(equals + 1));
+                        }
+                    }
+                    super.commit(changes);
+                }
+            }.open(NIGHT).run();
+            NAMES.addAll(NIGHT.list());
+        } catch (IOException e) {
+            throw new ExceptionInInitializerError(e);
+        }
+    }
+
+    /** The file, the place in it, and what stands there instead. */
+    @FuzzTest(maxDuration = "60s")
+    void neverInvents(byte[] data) throws IOException {
+        if (data.length < 4) {
+            return;
+        }
+        String name = NAMES.get((data[0] & 0xff) % NAMES.size());
+        byte[] content = NIGHT.content(name);
+        int at = ((data[1] & 0xff) << 8 | data[2] & 0xff) % content.length;
+        int bytes = Math.min(data.length - 3, content.length - at);
+        System.arraycopy(data, 3, content, at, bytes);
+        FaultDisk changed = NIGHT.copy();
+        changed.put(name, (data[0] & 0x80) != 0 ? Arrays.copyOf(content, at + bytes) : content);
+        try (Store store = Store.open(changed, Night.SMALL, StoreEvents.NONE)) {
+            TreeMap<String, String> found = Night.dump(store);
+            found.forEach((key, value) ->
+                assertTrue(ASKED.getOrDefault(key, Set.of()).contains(value), key + "=" + value));
+        } catch (StoreException refused) {
+            assertTrue(refused.getMessage() != null);
+        }
+    }
+
+    @Test
+    void aFewThousandChancesOfIt() throws IOException {
+        Random random = new Random(20261201);
+        for (int i = 0; i < 4_000; i++) {
+            byte[] data = new byte[4 + random.nextInt(i % 3 == 0 ? 600 : 12)];
+            random.nextBytes(data);
+            if (i % 4 == 0) {
+                Arrays.fill(data, 3, data.length, (byte) 0); // what a disk leaves that lost a sector
+            }
+            neverInvents(data);
+        }
+    }
+}
--- a/relay/src/test/java/saltstage/store/StoreTest.java
+++ b/relay/src/test/java/saltstage/store/StoreTest.java
@@ -209,6 +209,11 @@
             store.compact();
             long after = store.stat().fileBytes();
             assertTrue(after < before / 5, before + " then " + after);
+            long there = 0;
+            for (java.io.File file : dir.resolve("s").toFile().listFiles()) {
+                there += file.length();
+            }
+            assertTrue(there <= after + 4096, "on the disk " + there + ", counted " + after);
             assertEquals(10, store.verify().live());
         }
     }
@@ -267,6 +272,23 @@
         }
     }
 
+    /** The large one's room was taken, but the small one's mirror is longer than the large one's mark. */
+    @Test
+    void aGroupOfWhichTheLargePartIsRefusedKeepsWithinItsRoom() throws IOException {
+        FaultDisk disk = new FaultDisk();
+        Core core = new Core(disk, Night.SMALL, StoreEvents.NONE);
+        new Recovery(core, true).run();
+        LogWriter writer = new LogWriter(core);
+        Pending small = new Pending(new Batch().put(bytes("s"), new byte[Frames.MOST_MIRRORED - 200]));
+        Pending large = new Pending(new Batch().expect(bytes("x"), 9).put(bytes("l"), new byte[1_000]));
+        writer.write(List.of(small, large));
+        assertEquals(1, small.result());
+        assertThrows(StoreException.Conflict.class, large::result);
+        try (Store store = Store.open(disk.copy(), Night.SMALL, StoreEvents.NONE)) {
+            assertEquals(1, store.verify().live());
+        }
+    }
+
     @Test
     void largeBatchesAreWholeAndMarked() throws IOException {
         byte[] large = new byte[200 << 10];
