--- /dev/null
+++ b/relay/src/main/java/saltstage/net/Loop.java
@@ -0,0 +1,21 @@
+package saltstage.net;
+
+import java.time.Duration;
+
+/** One thread that does everything of its connections, one thing after the other. */
+public interface Loop {
+    /** Something that is due later. */
+    interface Timer {
+        /** Keeps it from happening; false where it has happened or was cancelled already. */
+        boolean cancel();
+    }
+
+    /** Whether the caller is on this loop. */
+    boolean isCurrent();
+
+    /** Does it on the loop, soon, after what was handed over before. */
+    void run(Runnable task);
+
+    /** Does it on the loop once, that much later. */
+    Timer after(Duration delay, Runnable task);
+}
