--- a/lab/src/main/java/saltstage/lab/fleet/Fleet.java
+++ b/lab/src/main/java/saltstage/lab/fleet/Fleet.java
@@ -85,11 +85,15 @@
             default:
                 break;
         }
+        if (line.trim().matches("late \\d{1,6}")) {
+            discoveryLate(Duration.ofMillis(Long.parseLong(words[1])));
+            return "ok discovery answers " + words[1] + " ms late";
+        }
         Gateway named = words.length < 2 ? null
             : gateways.stream().filter(g -> g.uid().equals(words[1])).findFirst().orElse(null);
         boolean slow = words[0].equals("slow");
         if (named == null || words.length != (slow ? 3 : 2)) {
-            return "error: say drain G, kill G, stop G, start G, slow G MS, status or quit, with G one of g0"
+            return "error: say drain G, kill G, stop G, start G, slow G MS, late MS, status or quit, G one of g0"
                 + " to g" + (gateways.size() - 1);
         }
         return done(words, named);
--- a/lab/src/main/java/saltstage/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/saltstage/lab/fleet/FleetCommand.java
@@ -14,8 +14,8 @@
 @Command(name = "fleet", mixinStandardHelpOptions = true,
     description = {"Runs discovery and stand-in gateways on loopback and writes DIR/config.json and",
         "DIR/saltstage.hcl; then: bin/saltstage serve --config DIR/config.json --settings DIR/saltstage.hcl"},
-    footer = {"", "On standard input: drain G, kill G, stop G, start G, slow G MS, status, quit.",
-        "Ends with 0 at quit or at the end of input."})
+    footer = {"", "On standard input: drain G, kill G, stop G, start G, slow G MS, late MS (discovery),",
+        "status, quit. Ends with 0 at quit or at the end of input."})
 public final class FleetCommand implements Callable<Integer> {
     /** What the gateways speak. */
     public enum Protocol { lines }
--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -26,9 +26,7 @@
 /** The command line. */
 @Command(name = "saltstage", description = "A relay for long-lived connections.",
     mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, StoreCommand.class,
-        ConfigCommand.class,
-        Main.ShowVersion.class,
+    subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, Main.ShowVersion.class,
         CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
     private static final int FAILED = 1;
@@ -36,11 +34,15 @@
 
     /** Exits 0 when done, 1 on bad configuration or input, 2 on a wrong command line. */
     public static void main(String[] args) {
-        System.exit(commandLine().execute(args));
+        System.exit(commandLine(args.length > 0 && args[0].equals("serve")).execute(args));
     }
 
-    private static CommandLine commandLine() {
+    /** A relay that restarts on half a core does not read the commands that it cannot be asked for. */
+    private static CommandLine commandLine(boolean serving) {
         CommandLine line = new CommandLine(new Main());
+        if (!serving) {
+            line.addSubcommand(new StoreCommand()).addSubcommand(new ConfigCommand());
+        }
         // One plain line, whatever is wrong: picocli would add the whole usage.
         line.setParameterExceptionHandler((e, args) -> complain(e.getMessage(), USAGE));
         line.setExecutionExceptionHandler((e, at, all) -> complain(String.valueOf(e.getMessage()), FAILED));
