--- a/lab/src/main/java/saltstage/lab/fleet/Fleet.java
+++ b/lab/src/main/java/saltstage/lab/fleet/Fleet.java
@@ -93,7 +93,7 @@
             : gateways.stream().filter(g -> g.uid().equals(words[1])).findFirst().orElse(null);
         boolean slow = words[0].equals("slow");
         if (named == null || words.length != (slow ? 3 : 2)) {
-            return "error: say drain G, kill G, stop G, start G, slow G MS, late MS, status or quit, G one of g0"
+            return "error: say drain|kill|stop|start G, slow G MS, late MS, status or quit; G is one of g0"
                 + " to g" + (gateways.size() - 1);
         }
         return done(words, named);
