AMQP: join outcomes, share sessions, answer echo, pass drain and lowered credit on

A driver of the engine's own found what was wrong: a receiver's drain never ended, a coordinator closed the whole connection, a link's echo had no answer, lowered credit stayed at the backend. Clients that chose one link name met at the backend (2.6.1).

Change: accepted, settled outcomes of one round go out as ranges; sending links of one client's session share one towards a backend, and who waits for its window is asked again when a flow has come; links have the relay's own names there; timers of a link that stands are gone; writes of a round are gathered into one buffer.

--- a/lab/src/main/java/saltstage/lab/amqp/AmqpBench.java
+++ b/lab/src/main/java/saltstage/lab/amqp/AmqpBench.java
@@ -25,6 +25,7 @@
     /** Deliveries a round, and a rate at which nothing takes them: there is always one more due. */
     private static final double ROUND = 120_000;
     private static final double ALL_AT_ONCE = 1_000_000;
+    private static final double WARM_RATE = 60_000;
 
     @Option(names = "--links", split = ",", defaultValue = "1,100,5000", description = "numbers of links")
     private List<Integer> links;
@@ -41,6 +42,15 @@
     @Option(names = "--heap", defaultValue = "512m", description = "the relay's heap (default 512m)")
     private String heap;
 
+    @Option(names = "--warm", defaultValue = "30", description = {
+        "seconds of load before the rates (default 30): the machine's compiler takes its turns on the",
+        "relay's only core until it has done its work"})
+    private double warm;
+
+    @Option(names = "--parts", split = ",", defaultValue = "rates,quiet,drain,kill",
+        description = "what is measured (default ${DEFAULT-VALUE})")
+    private List<String> parts;
+
     private Path dir;
     private Fleet fleet;
     private Process relay;
@@ -55,16 +65,15 @@
         fleet.writeFiles(dir, "log {\n  level = \"warn\"\n}\n" + fleet.settings(
             "  links_per_connection = 100000\n  links = 100000\n  connections = 1000\n"
             + "  attaches_per_second = 100000\n"));
-        relay = new ProcessBuilder("taskset", "-c", cpu, "java", "-Xmx" + heap, "-XX:+UseSerialGC", "-jar",
-            Home.jar().toString(), "serve", "--config", dir.resolve("config.json").toString(),
-            "--settings", dir.resolve("saltstage.hcl").toString())
+        relay = new ProcessBuilder("taskset", "-c", cpu, "java", "-Xms" + heap, "-Xmx" + heap,
+            "-XX:+UseSerialGC", "-jar", Home.jar().toString(), "serve", "--config",
+            dir.resolve("config.json").toString(), "--settings", dir.resolve("saltstage.hcl").toString())
             .redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile()).start();
         try {
             Home.awaitPong(address(fleet.listen()), relay, Duration.ofSeconds(30));
-            rates();
-            quiet();
-            drain();
-            kill();
+            for (String part : parts) {
+                measure(part);
+            }
         } finally {
             relay.destroy();
             if (!relay.waitFor(20, TimeUnit.SECONDS)) {
@@ -75,12 +84,24 @@
         return 0;
     }
 
+    private void measure(String part) throws IOException, InterruptedException {
+        switch (part) {
+            case "rates" -> rates();
+            case "quiet" -> quiet();
+            case "drain" -> drain();
+            case "kill" -> kill();
+            default -> throw new IllegalArgumentException("no part '" + part
+                + "': rates, quiet, drain, kill");
+        }
+    }
+
     private List<InetSocketAddress> to(boolean straight) {
         return straight ? fleet.amqp().stream().map(AmqpGateway::address).toList()
             : List.of(address(fleet.amqpListen()));
     }
 
     private void rates() throws IOException, InterruptedException {
+        warmUp();
         Report report = new Report("amqp-rates", "links", "way", "most deliveries a second",
             "at a rate of", "p50 ms", "p99 ms", "p99.9 ms", "worst ms");
         for (int count : links) {
@@ -107,6 +128,17 @@
         report.write(Home.measurements());
     }
 
+    private void warmUp() throws InterruptedException {
+        long start = System.nanoTime();
+        for (int round = 0; System.nanoTime() - start < warm * 1e9; round++) {
+            for (int way = 0; way < 2; way++) {
+                try (Load load = new Load(true, to(way == 1), 100, "warm" + way + "r" + round)) {
+                    load.run(WARM_RATE, 2, false);
+                }
+            }
+        }
+    }
+
     /** Far more is due than can go: what is answered a second is the most. */
     private double most(boolean straight, int count) throws InterruptedException {
         double best = 0;
--- a/lab/src/main/java/saltstage/lab/amqp/AmqpGateway.java
+++ b/lab/src/main/java/saltstage/lab/amqp/AmqpGateway.java
@@ -27,6 +27,8 @@
 import org.apache.qpid.protonj2.types.transport.AmqpError;
 import org.apache.qpid.protonj2.types.transport.DeliveryState;
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
+import org.apache.qpid.protonj2.types.transport.LinkError;
+import org.apache.qpid.protonj2.types.transport.ReceiverSettleMode;
 import saltstage.lab.fleet.Gateway.State;
 import saltstage.net.Connection;
 import saltstage.net.Transport;
@@ -49,6 +51,7 @@
     private final Set<ServerSide> open = ConcurrentHashMap.newKeySet();
     private final Set<Runnable> held = ConcurrentHashMap.newKeySet();
     private final Set<Link<?>> links = ConcurrentHashMap.newKeySet();
+    private final Set<String> names = ConcurrentHashMap.newKeySet();
     private final List<String> accepted = new ArrayList<>();
     private final Map<String, Long> outcomes = new TreeMap<>();
     private final Map<String, Long> told = new TreeMap<>();
@@ -56,6 +59,10 @@
     private volatile State state = State.READY;
     private volatile int rejectPercent;
     private volatile int feed = 10;
+    private volatile int window;
+    private volatile int sessions;
+    private volatile int stolen;
+    private volatile int settledSecond;
     private volatile Duration delay = Duration.ZERO;
     private volatile long lastLink;
     private volatile long served;
@@ -86,8 +93,12 @@
             .setChannelMax(65_535)
             .openHandler(up -> up.open())
             .closeHandler(up -> up.close())
-            .sessionOpenHandler(session -> { // without a window: all that comes is read at once
+            .sessionOpenHandler(session -> { // usually without a window: all that comes is read at once
+                if (window > 0) {
+                    session.setIncomingCapacity(window);
+                }
                 session.closeHandler(ended -> ended.close());
+                sessions++;
                 session.open();
             })
             .receiverOpenHandler(this::takes)
@@ -96,16 +107,28 @@
 
     private boolean turnsAway(Link<?> link) {
         lastLink = System.currentTimeMillis();
+        if (!names.add(name(link))) { // a second one of this name between two containers (2.6.1)
+            stolen++;
+            link.setSource(null).setTarget((Target) null).open();
+            link.setCondition(new ErrorCondition(LinkError.STOLEN, "link " + link.getName())).close();
+            return true;
+        }
         if (state != State.DRAINING && links.size() < MOST_LINKS) {
             links.add(link);
             served++;
             return false;
         }
+        names.remove(name(link));
         link.setSource(null).setTarget((Target) null).open();
         link.setCondition(new ErrorCondition(AmqpError.RESOURCE_LIMIT_EXCEEDED, "draining or full")).close();
         return true;
     }
 
+    private static String name(Link<?> link) {
+        return link.getEngine().connection().getRemoteContainerId() + " " + link.isSender() + " "
+            + link.getName();
+    }
+
     private void takes(Receiver link) {
         if (turnsAway(link)) {
             return;
@@ -118,12 +141,21 @@
         held.add(letGo);
         Runnable over = () -> {
             links.remove(link);
+            names.remove(name(link));
             held.remove(letGo);
             letGo.run();
             link.close();
         };
+        boolean second = link.getRemoteReceiverSettleMode() == ReceiverSettleMode.SECOND;
         link.setSource(link.getRemoteSource()).setTarget(link.<Target>getRemoteTarget())
+            .setReceiverSettleMode(link.getRemoteReceiverSettleMode())
             .setOfferedCapabilities(link.getRemoteDesiredCapabilities())
+            .deliveryStateUpdatedHandler(in -> {
+                if (second && in.isRemotelySettled() && !in.isSettled()) {
+                    settledSecond++;
+                    in.settle();
+                }
+            })
             .closeHandler(any -> over.run())
             .detachHandler(any -> over.run())
             .parentEndpointClosedHandler(any -> over.run())
@@ -193,7 +225,7 @@
             ? new Rejected(new ErrorCondition(Symbol.valueOf("stand-in:rejected"), "as it was told"))
             : Accepted.getInstance();
         count(id, reject ? "rejected" : "accepted");
-        in.disposition(state, true);
+        in.disposition(state, link.getReceiverSettleMode() != ReceiverSettleMode.SECOND);
         if (link.getCredit() <= CREDIT / 2) {
             link.addCredit(CREDIT - link.getCredit());
         }
@@ -215,6 +247,7 @@
         int[] given = new int[1];
         Runnable over = () -> {
             links.remove(link);
+            names.remove(name(link));
             link.close();
         };
         link.setSource(link.getRemoteSource()).setTarget(link.<Target>getRemoteTarget())
@@ -302,8 +335,33 @@
         feed = messages;
     }
 
+    /** Takes so many bytes a session before it has read them; 0: any number. */
+    public void window(int bytes) {
+        window = bytes;
+    }
+
     // ---- what is seen of it
 
+    /** How many sessions it has taken. */
+    public int sessions() {
+        return sessions;
+    }
+
+    /** How many deliveries were settled by their sender first, in the mode 'second' (2.6.12). */
+    public int settledSecond() {
+        return settledSecond;
+    }
+
+    /** How many messages its links that send may send now. */
+    public int credit() {
+        return links.stream().filter(Link::isSender).mapToInt(Link::getCredit).sum();
+    }
+
+    /** How many links were turned away as their name was taken. */
+    public int stolen() {
+        return stolen;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return at;
--- a/lab/src/main/java/saltstage/lab/amqp/Ledger.java
+++ b/lab/src/main/java/saltstage/lab/amqp/Ledger.java
@@ -16,7 +16,8 @@
     /** What a sender was told, or that its link ended without a word. */
     public enum Told { WAITING, ACCEPTED, REJECTED, RELEASED, MODIFIED, OTHER, NOTHING }
 
-    private final Map<String, Told> told = new HashMap<>();
+    /** Room beforehand: a map that grows keeps all threads of a measurement waiting for milliseconds. */
+    private final Map<String, Told> told = new HashMap<>(1 << 20);
     private long waiting;
     private final List<String> faults = new ArrayList<>();
     private final Histogram times = new Histogram(TimeUnit.MINUTES.toNanos(2), 3);
--- a/relay/src/main/java/org/apache/qpid/protonj2/engine/impl/Flows.java
+++ b/relay/src/main/java/org/apache/qpid/protonj2/engine/impl/Flows.java
@@ -1,6 +1,7 @@
 package org.apache.qpid.protonj2.engine.impl;
 
 import org.apache.qpid.protonj2.engine.Link;
+import org.apache.qpid.protonj2.engine.Receiver;
 import org.apache.qpid.protonj2.engine.Sender;
 import org.apache.qpid.protonj2.engine.Session;
 
@@ -8,7 +9,8 @@
  * What protonj2 1.0.0 does with session windows, put right from within its package. Bytes that come for a
  * link which this side has detached are never given back to the window. A flow for one link opens the window
  * for all links of a session, but the library tells only that one link's sender; a flow for the session tells
- * all, if the window was shut until then. Either way the others would stand still for good.
+ * all, if the window was shut until then. Either way the others would stand still for good. And it answers
+ * no link that asks for its state, and takes no credit back.
  */
 public final class Flows {
     private Flows() {
@@ -36,8 +38,18 @@
         ((ProtonSender) sender).handleSessionCreditStateUpdate(session.getOutgoingWindow());
     }
 
-    /** Tells the state of a link, as its other side has asked for (2.6.8, echo). */
-    public static void tell(Link<?> link) {
-        ((ProtonSession) link.getSession()).writeFlow((ProtonLink<?>) link);
+    /** Tells the state of a link where its other side has asked for that (2.6.8, echo); once an asking. */
+    public static void echo(Link<?> link) {
+        ProtonLinkCreditState state = ((ProtonLink<?>) link).getCreditState();
+        if (state.isEcho() && link.isLocallyOpen() && link.isRemotelyOpen()) {
+            state.clearEcho();
+            ((ProtonSession) link.getSession()).writeFlow((ProtonLink<?>) link);
+        }
+    }
+
+    /** Takes credit back that was given (2.6.7); the library only adds. What is on its way may still come. */
+    public static void takeBack(Receiver receiver, int credit) {
+        ((ProtonLink<?>) receiver).getCreditState().incrementCredit(-Math.min(credit, receiver.getCredit()));
+        ((ProtonSession) receiver.getSession()).writeFlow((ProtonLink<?>) receiver);
     }
 }
--- a/relay/src/main/java/saltstage/amqp/BackendLink.java
+++ b/relay/src/main/java/saltstage/amqp/BackendLink.java
@@ -16,14 +16,18 @@
 import saltstage.wire.BackendConnection;
 
 /**
- * One try: a link to a backend, on a session of its own, so that a backend that takes nothing holds up this
- * link's client and no other. It ends once: unreachable, refused, timed out, reset, or up and then over.
+ * One try: a link to a backend, on a session that it shares at most with links of the same client's session,
+ * so that a backend that takes nothing holds up this client and no other. It ends once: unreachable, refused,
+ * timed out, reset, or up and then over.
  */
 final class BackendLink implements BackendConnection {
     /** The link's other half. */
     interface Owner {
         /** Makes the link on the session, not yet open, with its handlers. */
-        Link<?> make(Session session, Peering on);
+        Link<?> make(Session session, Peering on, String name);
+
+        /** The key of the session that it may share with others, or null. */
+        Object sessionKey();
 
         /** The backend has attached it; false where nobody wants it any more. */
         boolean up(BackendLink link);
@@ -43,9 +47,12 @@
     private final Loop loop;
     private final Instant until;
     private BackendPeering peering;
-    private Session session;
+    private BackendSession session;
     private Link<?> link;
     private State state = State.CONNECTING;
+    /** What ends it where it takes too long; a link that stands or is over keeps none. */
+    private Loop.Timer connects;
+    private Loop.Timer attaches;
 
     BackendLink(AmqpFront front, Loop loop, Try begun, Instant until, Owner owner) {
         this.front = front;
@@ -70,12 +77,12 @@
             return;
         }
         Duration within = connect.compareTo(left) < 0 ? connect : left;
-        loop.after(within, () -> {
+        connects = loop.after(within, () -> {
             if (state == State.CONNECTING) {
                 done(Outcome.UNREACHABLE);
             }
         });
-        loop.after(left, () -> {
+        attaches = loop.after(left, () -> {
             if (state == State.ATTACHING) {
                 done(Outcome.TIMEOUT);
             }
@@ -120,14 +127,16 @@
             return;
         }
         try {
-            session = peering.session();
+            session = peering.session(owner.sessionKey());
         } catch (IllegalStateException full) { // the backend allows no more sessions on this connection
             done(Outcome.UNREACHABLE);
             return;
         }
         state = State.ATTACHING;
-        session.closeHandler(ended -> lost(true)).open();
-        link = owner.make(session, peering);
+        session.enter(this);
+        // Names are unique for a pair of containers (2.6.1), and the relay is one container to the backend:
+        // two clients that chose the same name must not take each other's link.
+        link = owner.make(session.session(), peering, begun.context().terms().name());
         link.closeHandler(ended -> detached(ended.getRemoteCondition()))
             .detachHandler(ended -> detached(ended.getRemoteCondition()))
             .openHandler(opened -> attached());
@@ -140,6 +149,7 @@
             return; // a detach that says why is on its way (2.6.3)
         }
         state = State.UP;
+        endTimers();
         if (!owner.up(this)) {
             done(Outcome.CANCELLED);
         }
@@ -172,6 +182,20 @@
         }
     }
 
+    /** It has something to send that its session's window has no room for. */
+    void heldUp() {
+        if (state == State.UP) {
+            session.heldUp(this);
+        }
+    }
+
+    /** A flow has come for it: its session's window may be open for others too. */
+    void flowed() {
+        if (state == State.UP) {
+            session.mayHaveRoom();
+        }
+    }
+
     void roomAgain() {
         if (state == State.UP) {
             owner.roomAgain();
@@ -206,15 +230,28 @@
         front.book().ended(begun, outcome);
     }
 
+    private void endTimers() {
+        if (connects != null) {
+            connects.cancel();
+            attaches.cancel();
+            connects = null;
+            attaches = null;
+        }
+    }
+
     private void shut() {
         state = State.DONE;
+        endTimers();
         if (peering == null) {
             return;
         }
         peering.detached(this);
-        if (link != null && !peering.over() && peering.engineRuns()) {
+        boolean canSpeak = !peering.over() && peering.engineRuns();
+        if (link != null && canSpeak) {
             link.close();
-            session.close();
+        }
+        if (session != null) {
+            session.leave(this, canSpeak);
         }
     }
 }
--- a/relay/src/main/java/saltstage/amqp/BackendPeering.java
+++ b/relay/src/main/java/saltstage/amqp/BackendPeering.java
@@ -3,8 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import javax.security.sasl.SaslException;
 import org.apache.qpid.protonj2.buffer.ProtonBuffer;
@@ -30,6 +32,8 @@
     private final BackendPool pool;
     private final Peer peer;
     private final Set<BackendLink> links = new LinkedHashSet<>();
+    /** By the client's session, which is its own key. */
+    private final Map<Object, BackendSession> shared = new HashMap<>();
     private boolean opened;
     private Instant idleSince;
 
@@ -108,10 +112,20 @@
         }
     }
 
-    /** A session for one link. */
-    Session session() {
-        return engine().connection().session()
+    /** A session for a link: one that it shares with others of this key, or its own where there is none. */
+    BackendSession session(Object key) {
+        BackendSession held = key == null ? null : shared.get(key);
+        if (held != null && held.hasRoom()) {
+            return held;
+        }
+        Session made = engine().connection().session()
             .setIncomingCapacity(front.settings().limits().linkBytes());
+        BackendSession[] it = new BackendSession[1];
+        it[0] = new BackendSession(made, () -> shared.remove(key, it[0]));
+        if (key != null) {
+            shared.put(key, it[0]); // one that is full goes on without newcomers
+        }
+        return it[0];
     }
 
     void closeIfIdle() {
--- a/relay/src/main/java/saltstage/amqp/ClientLink.java
+++ b/relay/src/main/java/saltstage/amqp/ClientLink.java
@@ -319,7 +319,9 @@
             front.book().left(context);
         }
         if (owner.engineRuns()) {
-            link.close();
+            if (!link.getSession().isRemotelyClosed()) { // else its end has ended its links, too
+                link.close();
+            }
             ends();
         }
     }
--- a/relay/src/main/java/saltstage/amqp/ClientPeering.java
+++ b/relay/src/main/java/saltstage/amqp/ClientPeering.java
@@ -29,6 +29,7 @@
 import org.apache.qpid.protonj2.types.Symbol;
 import org.apache.qpid.protonj2.types.messaging.Source;
 import org.apache.qpid.protonj2.types.messaging.Target;
+import org.apache.qpid.protonj2.types.transactions.Coordinator;
 import org.apache.qpid.protonj2.types.transport.AMQPHeader;
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
 import org.apache.qpid.protonj2.types.transport.LinkError;
@@ -128,11 +129,7 @@
             })
             .sessionOpenHandler(this::begins)
             .senderOpenHandler(this::attaches)
-            .receiverOpenHandler(this::attaches)
-            .transactionManagerOpenHandler(manager -> {
-                manager.open();
-                manager.setCondition(Errors.notImplemented("transactions")).close();
-            });
+            .receiverOpenHandler(this::attaches);
         start(made);
     }
 
@@ -294,7 +291,9 @@
         link.setLinkedResource(made);
         link.closeHandler(ended -> made.clientLeft());
         link.detachHandler(ended -> made.clientLeft());
-        if (dynamic) {
+        if (link.isReceiver() && link.getRemoteTarget() instanceof Coordinator) {
+            made.turnAway(Errors.notImplemented("transactions"));
+        } else if (dynamic) {
             made.turnAway(Errors.notImplemented("dynamic addresses"));
         } else if (front.leaving()) {
             made.turnAway(Errors.leaving());
--- a/relay/src/main/java/saltstage/amqp/Peering.java
+++ b/relay/src/main/java/saltstage/amqp/Peering.java
@@ -9,7 +9,9 @@
 import org.apache.qpid.protonj2.buffer.ProtonBufferComponentAccessor;
 import org.apache.qpid.protonj2.buffer.impl.ProtonByteArrayBufferAllocator;
 import org.apache.qpid.protonj2.engine.Engine;
+import org.apache.qpid.protonj2.engine.EngineHandler;
 import org.apache.qpid.protonj2.engine.EventHandler;
+import org.apache.qpid.protonj2.engine.impl.ProtonConstants;
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
 import saltstage.log.Log;
 import saltstage.net.Connection;
@@ -43,6 +45,10 @@
     /** Starts the engine; what it says goes out from here on. */
     protected final void start(Engine with) {
         engine = with;
+        // Frames go out from the first handler on: what makes them stays before what joins them.
+        EngineHandler performatives = engine.pipeline().find(ProtonConstants.AMQP_PERFORMATIVE_HANDLER);
+        engine.pipeline().remove(performatives).addFirst("outcomes", new OutcomeFrames(loop()::run))
+            .addFirst(ProtonConstants.AMQP_PERFORMATIVE_HANDLER, performatives);
         engine.outputHandler((buffer, done) -> {
             try (ProtonBufferComponentAccessor parts = buffer.componentAccessor()) {
                 for (ProtonBufferComponent part = parts.firstReadable(); part != null;
--- a/relay/src/main/java/saltstage/amqp/ReceivingLink.java
+++ b/relay/src/main/java/saltstage/amqp/ReceivingLink.java
@@ -25,6 +25,8 @@
     private OutgoingDelivery current;
     private ProtonBuffer rest;
     private boolean refreshing;
+    /** The backend was asked to drain for its client. */
+    private boolean draining;
 
     ReceivingLink(AmqpFront front, ClientPeering owner, Sender client, Mapping.Asked asked) {
         super(front, owner, client, asked);
@@ -32,6 +34,7 @@
         client.creditStateUpdateHandler(any -> {
             owner.pump(); // a flow may have opened the window of its session for other links too
             credit();
+            Flows.echo(client);
         }).deliveryStateUpdatedHandler(this::toldByClient);
     }
 
@@ -45,19 +48,41 @@
         if (!isStanding()) {
             return;
         }
-        int more = client.getCredit() - receiver.getCredit() - pipe.size();
+        if (client.isDraining()) {
+            drain();
+            return;
+        }
+        draining = false;
+        int more = missing();
         if (more > 0 && !receiver.isDraining()) {
             receiver.addCredit(more);
+        } else if (more < 0 && receiver.getCredit() > 0 && !receiver.isDraining()) {
+            Flows.takeBack(receiver, -more); // its client wants fewer: the backend must not send for nobody
         }
-        if (client.isDraining()) {
-            if (receiver.getCredit() > 0) {
-                if (!receiver.isDraining()) {
-                    receiver.drain();
-                }
-            } else if (pipe.isEmpty()) {
-                client.drained();
+    }
+
+    /** How much more credit its client has given than the backend has; below 0 where that has too much. */
+    private int missing() {
+        // What is only partly here has taken no credit yet, on neither side.
+        int here = pipe.isEmpty() || !pipe.peekLast().isPartial() ? pipe.size() : pipe.size() - 1;
+        return client.getCredit() - receiver.getCredit() - here;
+    }
+
+    /** The client drains its credit: the backend is asked the same once, and its answer is passed on. */
+    private void drain() {
+        if (!draining) {
+            draining = true;
+            if (missing() > 0 && !receiver.isDraining()) {
+                receiver.addCredit(missing());
+            }
+            if (receiver.getCredit() > 0 && !receiver.isDraining()) {
+                receiver.drain();
             }
         }
+        if (receiver.getCredit() == 0 && pipe.isEmpty()) {
+            draining = false;
+            client.drained();
+        }
     }
 
     // ---- deliveries, from the backend to the client
@@ -125,6 +150,9 @@
                 }
             }
         }
+        if (draining && isStanding() && pipe.isEmpty()) {
+            credit(); // the last that the backend had sent before it answered is through
+        }
     }
 
     /** The client has said what became of it: the backend is told the same. */
@@ -160,14 +188,20 @@
     // ---- its life
 
     @Override
-    public Link<?> make(Session session, Peering on) {
-        receiver = session.receiver(client.getName());
+    public Object sessionKey() {
+        return null; // bytes that its client does not take fill its session's window
+    }
+
+    @Override
+    public Link<?> make(Session session, Peering on, String name) {
+        receiver = session.receiver(name);
         copyAsked(receiver);
         return receiver.deliveryReadHandler(on.guarded(this::came))
             .deliveryAbortedHandler(on.guarded(this::aborted))
             .deliveryStateUpdatedHandler(this::toldByBackend).creditStateUpdateHandler(any -> {
                 credit();
                 progress();
+                Flows.echo(receiver);
             });
     }
 
--- a/relay/src/main/java/saltstage/amqp/SendingLink.java
+++ b/relay/src/main/java/saltstage/amqp/SendingLink.java
@@ -11,6 +11,7 @@
 import org.apache.qpid.protonj2.engine.Receiver;
 import org.apache.qpid.protonj2.engine.Sender;
 import org.apache.qpid.protonj2.engine.Session;
+import org.apache.qpid.protonj2.engine.impl.Flows;
 import org.apache.qpid.protonj2.types.DeliveryTag;
 import org.apache.qpid.protonj2.types.messaging.Received;
 import org.apache.qpid.protonj2.types.transport.DeliveryState;
@@ -44,6 +45,7 @@
                 }
                 drained();
                 progress();
+                Flows.echo(client);
             });
     }
 
@@ -178,7 +180,14 @@
     @Override
     public boolean sendable() {
         // protonj2 1.0.0 goes on calling a sender sendable whose credit it has just let go
-        return backend() != null && backend().writable() && sender.getCredit() > 0 && sender.isSendable();
+        if (backend() == null || !backend().writable() || sender.getCredit() == 0) {
+            return false;
+        }
+        if (!sender.isSendable()) {
+            backend().heldUp();
+            return false;
+        }
+        return true;
     }
 
     @Override
@@ -199,6 +208,9 @@
         if (last && !bytes.isReadable()) {
             delivery.sentAt(front().now());
         }
+        if (bytes.isReadable()) {
+            backend().heldUp();
+        }
         return before - bytes.getReadableBytes();
     }
 
@@ -224,6 +236,9 @@
 
     private void told(OutgoingDelivery out) {
         Delivery delivery = out.getLinkedResource();
+        if (out.getLink() != sender || ended()) {
+            return; // of a link that is over, on a session that is not
+        }
         DeliveryState state = out.getRemoteState();
         boolean settled = out.isRemotelySettled();
         if (state instanceof Received && !settled || state == null && !settled) {
@@ -247,6 +262,10 @@
         forwarding.credit(from.getCredit());
         read();
         drained();
+        if (backend() != null) {
+            backend().flowed();
+        }
+        Flows.echo(from);
     }
 
     /** A backend that drains its credit is told so once what the client may still send has come. */
@@ -274,8 +293,13 @@
     // ---- its life
 
     @Override
-    public Link<?> make(Session session, Peering on) {
-        sender = session.sender(client.getName());
+    public Object sessionKey() {
+        return client.getSession();
+    }
+
+    @Override
+    public Link<?> make(Session session, Peering on, String name) {
+        sender = session.sender(name);
         copyAsked(sender);
         return sender.creditStateUpdateHandler(this::credit).deliveryStateUpdatedHandler(this::told);
     }
@@ -293,6 +317,7 @@
 
     @Override
     public void roomAgain() {
+        Flows.refresh(sender);
         forwarding.credit(sender.getCredit());
         read();
     }
--- a/relay/src/main/java/saltstage/net/NettyConnection.java
+++ b/relay/src/main/java/saltstage/net/NettyConnection.java
@@ -15,6 +15,10 @@
 
 /** A connection on a channel of Netty's. */
 final class NettyConnection extends ChannelInboundHandlerAdapter implements Connection {
+    /** Room for the first write of a round, which most often is the only one, and for all that follow it. */
+    private static final int FIRST = 512;
+    private static final int GATHERED = 16 << 10;
+
     private final SocketChannel channel;
     private final Loop loop;
     private final Bounds bounds;
@@ -26,6 +30,8 @@
     private boolean outputEnded;
     private boolean over;
     private boolean flushing;
+    /** What was written in this round of the loop and is not handed to the channel yet; null: nothing. */
+    private ByteBuf gathered;
 
     NettyConnection(SocketChannel channel, Loop loop, Bounds bounds, BiConsumer<String, Throwable> faults) {
         this.channel = channel;
@@ -67,21 +73,37 @@
             end(Cause.OVERFLOW);
             return;
         }
-        ByteBuf copy = channel.alloc().buffer(bytes.remaining()).writeBytes(bytes);
-        channel.write(copy, channel.voidPromise());
+        if (gathered != null && gathered.maxWritableBytes() < bytes.remaining()) {
+            handOver();
+        }
+        if (gathered == null) { // many small writes cost the channel an entry, a buffer and a promise each
+            gathered = channel.alloc().ioBuffer(Math.max(bytes.remaining(), flushing ? GATHERED : FIRST),
+                Math.max(bytes.remaining(), GATHERED));
+        }
+        gathered.writeBytes(bytes);
         if (!flushing) { // one call of the system for all that is written in this round of the loop
             flushing = true;
             channel.eventLoop().execute(() -> {
                 flushing = false;
+                handOver();
                 channel.flush();
             });
         }
     }
 
+    private void handOver() {
+        if (gathered != null) {
+            ByteBuf out = gathered;
+            gathered = null;
+            channel.write(out, channel.voidPromise());
+        }
+    }
+
     @Override
     public long unsent() {
         ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-        return out == null ? 0 : out.totalPendingWriteBytes();
+        return (out == null ? 0 : out.totalPendingWriteBytes())
+            + (gathered == null ? 0 : gathered.readableBytes());
     }
 
     @Override
@@ -93,6 +115,7 @@
     public void endOutput() {
         if (!outputEnded) {
             outputEnded = true;
+            handOver();
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> channel.shutdownOutput()
                 .addListener(done -> closeIfBothEnded()));
         }
@@ -108,6 +131,7 @@
     @Override
     public void close() {
         cause = cause == null ? Cause.OURS : cause;
+        handOver();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
@@ -176,6 +200,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (gathered != null) {
+            gathered.release();
+            gathered = null;
+        }
         if (!over && handler != null) {
             over = true;
             Cause why = cause == null ? Cause.RESET : cause;
