AMQP: take other limits, mappings and secrets at SIGHUP, checked and replaced as a whole

Need: the front's limits and secrets were read at the start only; a secret could not be changed in service.

The container id towards backends is the process's own, so that names of links are not taken for those of a former life.

--- a/lab/src/test/java/saltstage/lab/amqp/FrontTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/FrontTest.java
@@ -1,6 +1,7 @@
 package saltstage.lab.amqp;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -144,6 +145,56 @@
         }
     }
 
+    private static boolean comesIn(Client client, Stage stage, String secret) throws Exception {
+        ConnectionOptions options = new ConnectionOptions().user("dosan-power").password(secret);
+        options.saslOptions().addAllowedMechanism("PLAIN");
+        options.reconnectEnabled(false);
+        Connection connection =
+            client.connect(stage.amqp().getHostString(), stage.amqp().getPort(), options);
+        try {
+            connection.openFuture().get(20, TimeUnit.SECONDS);
+            connection.openSender("session-check").send(Message.create("x"))
+                .awaitSettlement(20, TimeUnit.SECONDS);
+            return true;
+        } catch (Exception refused) {
+            return false;
+        }
+    }
+
+    private static long count(Stage stage, String what) {
+        try {
+            return stage.log().lines().filter(line -> line.contains(what)).count();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void sighupTakesOtherLimitsAndSecretsAndRefusesBadOnesWhole() throws Exception {
+        Path secrets = Files.createTempFile("saltstage", "secrets");
+        Files.writeString(secrets, "dosan-power:first\n");
+        String access = "  secrets = \"" + secrets + "\"\n";
+        try (Stage stage = new Stage(1, access + "  connections = 1\n"); Client client = Client.create()) {
+            assertTrue(comesIn(client, stage, "first"));
+            assertFalse(comesIn(client, stage, "first"), "one connection was allowed");
+            Files.writeString(secrets, "dosan-power:second\n");
+            stage.reload(access + "  connections = 20\n");
+            stage.await("reload.done", () -> count(stage, "reload.done") == 1);
+            assertTrue(comesIn(client, stage, "second"));
+            assertFalse(comesIn(client, stage, "first"));
+            Files.writeString(secrets, "no colon\n");
+            stage.reload(access + "  connections = 1\n");
+            stage.await("reload.refused", () -> count(stage, "reload.refused") == 1);
+            assertTrue(comesIn(client, stage, "second"), "nothing of a bad change is in force");
+            Files.writeString(secrets, "dosan-power:second\n");
+            stage.reload(access + "  connections = 20\n  loops = 2\n");
+            stage.await("what waits for a restart", () -> count(stage, "amqp.loops") == 1);
+            assertTrue(comesIn(client, stage, "second"));
+        } finally {
+            Files.delete(secrets);
+        }
+    }
+
     @Test
     void largeDeliveryIsPassedThroughAndOneThatBreaksOffReachesNobody() throws Exception {
         try (Stage stage = new Stage(2, "  link_bytes = \"128KiB\"\n"); Client client = Client.create()) {
--- a/lab/src/test/java/saltstage/lab/amqp/Stage.java
+++ b/lab/src/test/java/saltstage/lab/amqp/Stage.java
@@ -52,6 +52,12 @@
         }
     }
 
+    /** Writes other settings and sends SIGHUP. */
+    void reload(String amqpSettings) throws IOException, InterruptedException {
+        Files.writeString(dir.resolve("saltstage.hcl"), fleet.settings(amqpSettings));
+        new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid())).start().waitFor();
+    }
+
     /** The same with a description that is made when it is needed. */
     void await(Supplier<String> what, BooleanSupplier holds) throws InterruptedException, IOException {
         try {
--- a/relay/src/main/java/saltstage/amqp/AmqpFront.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpFront.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -45,15 +47,13 @@
     /** Connections to backends, beside those of clients. */
     private static final int BACKEND_SOCKETS = 64;
 
-    private final AmqpSettings settings;
     private final Configuration config;
     private final Chain chain;
     private final MonotonicClock clock;
     private final Transport transport;
-    private final Mapping mapping;
-    private final Secrets secrets;
-    private final Forwarding.Bounds bounds;
     private final String container;
+    private volatile Rules rules;
+    private int reserved;
     private final Map<Loop, BackendPool> pools = new HashMap<>();
     private final Set<ClientPeering> clients = ConcurrentHashMap.newKeySet();
     private final Set<ClientLink> links = ConcurrentHashMap.newKeySet();
@@ -78,26 +78,15 @@
     /** A front of these settings before the stages of the chain; the transport ends with it. */
     public AmqpFront(AmqpSettings settings, Configuration config, Chain chain, MonotonicClock clock,
             Transport transport) throws MalformedException {
-        this.settings = settings;
         this.config = config;
         this.chain = chain;
         this.clock = clock;
         this.transport = transport;
-        mapping = new Mapping(config, settings);
-        secrets = settings.access().secrets() == null ? Secrets.none()
-            : Secrets.read(settings.access().secrets());
-        if (settings.access().anonymousTenant() != null) {
-            try {
-                config.tenant(settings.access().anonymousTenant());
-            } catch (MalformedException unknown) {
-                throw new MalformedException("amqp: anonymous_tenant '"
-                    + settings.access().anonymousTenant() + "' is not in the settings");
-            }
-        }
-        AmqpSettings.Limits limits = settings.limits();
-        bounds = new Forwarding.Bounds(limits.unsettled(), limits.linkBytes(), limits.repeatBytes(),
-            config.settings().maxAttempts(), settings.times().delivery());
-        container = "saltstage-" + config.name();
+        rules = Rules.of(settings, config);
+        // Links' names are unique for a container: neither a relay of the same name nor its own former life,
+        // which a backend may still think alive, may be taken for this one.
+        container = "saltstage-" + config.name() + "-"
+            + Integer.toHexString(new SecureRandom().nextInt());
         for (Loop loop : transport.loops()) {
             pools.put(loop, new BackendPool(this, transport, loop));
         }
@@ -105,25 +94,50 @@
 
     /** Listens; returns where. */
     public InetSocketAddress start() throws IOException {
-        listener = transport.listen(settings.listen(), BACKLOG, BOUNDS, this::accept);
-        chain.admit().reserve(Math.min(config.sockets() / 2,
-            settings.limits().connections() + BACKEND_SOCKETS));
+        listener = transport.listen(settings().listen(), BACKLOG, BOUNDS, this::accept);
+        reserve();
         chain.add(this);
         transport.loops().forEach(this::beat);
         Log.info("amqp.ready", "listen", listener.address());
         return listener.address();
     }
 
+    private void reserve() {
+        int wanted = Math.min(config.sockets() / 2, settings().limits().connections() + BACKEND_SOCKETS);
+        chain.admit().reserve(wanted - reserved);
+        reserved = wanted;
+    }
+
+    /** A change that was checked and is not yet in force. */
+    public interface Change {
+        /** Puts it in force for all that comes from now on; returns what waits for a restart. */
+        List<String> apply();
+    }
+
+    /**
+     * Checks other settings, with the file of secrets as it is now. What stands keeps the limits that it came
+     * under; new connections, links and logins get the new ones.
+     */
+    public Change change(AmqpSettings next) throws MalformedException {
+        Rules checked = Rules.of(next, config);
+        return () -> {
+            List<String> later = rules.needRestart(checked);
+            rules = checked;
+            reserve();
+            return later;
+        };
+    }
+
     /** Takes a connection, or null where it is one too many. */
     Handler accept(Connection connection) {
         int now = connections.incrementAndGet();
-        if (now > settings.limits().connections() + MOST_TOLD) {
+        if (now > settings().limits().connections() + MOST_TOLD) {
             connections.decrementAndGet();
             Log.warn("amqp.full", "from", connection.remote(), "connections", now);
             return null;
         }
         ClientPeering made = new ClientPeering(this, pools.get(connection.loop()), connection,
-            now > settings.limits().connections());
+            now > settings().limits().connections());
         clients.add(made);
         return made;
     }
@@ -201,7 +215,7 @@
     }
 
     AmqpSettings settings() {
-        return settings;
+        return rules.settings();
     }
 
     Configuration config() {
@@ -209,15 +223,15 @@
     }
 
     Mapping mapping() {
-        return mapping;
+        return rules.mapping();
     }
 
     Secrets secrets() {
-        return secrets;
+        return rules.secrets();
     }
 
     Forwarding.Bounds bounds() {
-        return bounds;
+        return rules.bounds();
     }
 
     String container() {
@@ -240,14 +254,14 @@
     /** Whether deliveries to this address may be repeated. */
     boolean repeatable(Mapping.Asked asked) {
         try {
-            return mapping.map(asked, "", false).repeatable();
+            return mapping().map(asked, "", false).repeatable();
         } catch (Mapping.Unmapped turnedAwayLater) {
             return false;
         }
     }
 
     boolean hasRoomForLink() {
-        return open.get() < settings.limits().links();
+        return open.get() < settings().limits().links();
     }
 
     void entered(ClientLink link) {
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import saltstage.amqp.AmqpFront;
@@ -127,7 +128,9 @@
         try {
             OperatorSettings chosen = operator.read();
             Configuration read = source.read();
-            List<String> later = read.differsFrom(config);
+            List<String> later = new ArrayList<>(read.differsFrom(config));
+            AmqpFront.Change change = amqp == null || chosen.amqp().isEmpty() ? null
+                : amqp.change(chosen.amqp().get()); // all is checked before anything is in force
             if (!read.discovery().equals(discoveryAddress)) {
                 DiscoveryClient old = discovery;
                 discoveryAddress = read.discovery();
@@ -135,6 +138,11 @@
                 old.stop();
                 watchWanted.release();
             }
+            if (change != null) {
+                later.addAll(change.apply());
+            } else if (amqp != null || chosen.amqp().isPresent()) {
+                later.add("amqp"); // a front is neither begun nor ended beside connections that stand
+            }
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
             if (keeper != null) {
                 keeper.accepted(read.text(), chosen.text());
