Play the driver's scripts only once links are taken, and anew where an attach is refused for now

Change: each script waits for a first link of another client; one that is refused is played anew, five times at most; the flow that gives the session's window back after a detach is expected.

--- a/lab/src/test/java/saltstage/lab/amqp/DriverTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/DriverTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import saltstage.net.NettyTransport;
 
 /** Frame by frame, by a driver that nobody here wrote: what comes back must be what it was told to expect. */
 @Timeout(120)
@@ -20,11 +21,34 @@
     private static final byte[] BODY = {0, 0x53, 0x73, (byte) 0xc0, 5, 1, (byte) 0xa1, 2, 'd', '1',
         0, 0x53, 0x75, (byte) 0xa0, 1, 'x'};
 
+    private static final int MOST_PLAYED = 5;
+
     private Stage stage;
     private ProtonTestClient peer;
 
+    /** What a peer does and waits for. */
+    private interface Script {
+        void run() throws Exception;
+    }
+
+    /** An attach may be refused for now, as on a machine that is slow just then: that is played anew. */
+    private void play(Script script) throws Exception {
+        for (int i = 1;; i++) {
+            try {
+                script.run();
+                return;
+            } catch (AssertionError failed) {
+                if (i == MOST_PLAYED || !String.valueOf(failed.getMessage()).contains("come again")) {
+                    throw failed;
+                }
+                end();
+            }
+        }
+    }
+
     private void begin(String settings) throws Exception {
         stage = new Stage(1, settings);
+        awaitPlace();
         peer = new ProtonTestClient();
         peer.connect(stage.amqp().getAddress().getHostAddress(), stage.amqp().getPort());
         peer.expectAMQPHeader();
@@ -32,6 +56,18 @@
         peer.waitForScriptToComplete(20, TimeUnit.SECONDS);
     }
 
+    /** A relay that has just begun may refuse at first: links are taken from here on. */
+    private void awaitPlace() throws Exception {
+        try (NettyTransport transport =
+            new NettyTransport(1, false, (at, fault) -> fault.printStackTrace())) {
+            LoadClient first = new LoadClient(transport, transport.loops().get(0), stage.amqp(), "first", 1,
+                "session-check", 64, new Ledger());
+            stage.await("a first link", () -> first.attached() == 1);
+            first.end();
+            stage.await("it is gone", () -> gateway().links() == 0);
+        }
+    }
+
     private void open() throws Exception {
         begin("  idle = \"2s\"\n");
         peer.expectOpen();
@@ -84,6 +120,10 @@
 
     @Test
     void whoAsksForTheStateOfItsLinkOrSessionIsTold() throws Exception {
+        play(this::whoAsksForTheStateOfItsLinkOrSessionIsToldScript);
+    }
+
+    private void whoAsksForTheStateOfItsLinkOrSessionIsToldScript() throws Exception {
         open();
         attachSender(false);
         peer.expectFlow().withHandle(0).withLinkCredit(notNullValue());
@@ -96,6 +136,10 @@
 
     @Test
     void drainedCreditIsGivenBackWhereNothingIsThere() throws Exception {
+        play(this::drainedCreditIsGivenBackWhereNothingIsThereScript);
+    }
+
+    private void drainedCreditIsGivenBackWhereNothingIsThereScript() throws Exception {
         open();
         gateway().feed(0);
         attachReceiver();
@@ -109,6 +153,10 @@
 
     @Test
     void creditThatAReceiverTakesBackIsTakenBackAtTheBackend() throws Exception {
+        play(this::creditThatAReceiverTakesBackIsTakenBackAtTheBackendScript);
+    }
+
+    private void creditThatAReceiverTakesBackIsTakenBackAtTheBackendScript() throws Exception {
         open();
         gateway().feed(0);
         attachReceiver();
@@ -120,6 +168,10 @@
 
     @Test
     void inTheModeSecondTheBackendSettlesAfterTheClient() throws Exception {
+        play(this::inTheModeSecondTheBackendSettlesAfterTheClientScript);
+    }
+
+    private void inTheModeSecondTheBackendSettlesAfterTheClientScript() throws Exception {
         open();
         attachSender(true);
         peer.expectDisposition().withFirst(0).withState().accepted();
@@ -134,6 +186,10 @@
 
     @Test
     void aSessionThatEndsWithinATransferLeavesNothingBehind() throws Exception {
+        play(this::aSessionThatEndsWithinATransferLeavesNothingBehindScript);
+    }
+
+    private void aSessionThatEndsWithinATransferLeavesNothingBehindScript() throws Exception {
         open();
         attachSender(false);
         peer.expectEnd();
@@ -155,9 +211,14 @@
 
     @Test
     void aDetachWithinATransferLeavesNothingBehindAndNoOutcomeToo() throws Exception {
+        play(this::aDetachWithinATransferLeavesNothingBehindAndNoOutcomeTooScript);
+    }
+
+    private void aDetachWithinATransferLeavesNothingBehindAndNoOutcomeTooScript() throws Exception {
         open();
         attachSender(false);
         peer.expectDetach().withHandle(0);
+        peer.expectFlow().withHandle(nullValue()); // the session's window, which the link's bytes had used
         peer.remoteTransfer().withHandle(0).withDeliveryId(0).withDeliveryTag(new byte[] {1}).withMore(true)
             .withPayload(BODY).now();
         peer.remoteDetach().withHandle(0).withClosed(true).now();
@@ -168,6 +229,10 @@
 
     @Test
     void transactionsAreRefusedLoudly() throws Exception {
+        play(this::transactionsAreRefusedLoudlyScript);
+    }
+
+    private void transactionsAreRefusedLoudlyScript() throws Exception {
         open();
         peer.expectAttach().withTarget(nullValue()).optional();
         peer.expectDetach().withError("amqp:not-implemented", "transactions");
@@ -179,6 +244,10 @@
 
     @Test
     void heartbeatsComeAsAskedForAndAHalfOpenClientIsEnded() throws Exception {
+        play(this::heartbeatsComeAsAskedForAndAHalfOpenClientIsEndedScript);
+    }
+
+    private void heartbeatsComeAsAskedForAndAHalfOpenClientIsEndedScript() throws Exception {
         begin("  idle = \"2s\"\n");
         peer.expectOpen();
         peer.expectEmptyFrame();
