--- a/relay/src/test/java/saltstage/store/DamageTest.java
+++ b/relay/src/test/java/saltstage/store/DamageTest.java
@@ -25,6 +25,10 @@
         acked = night.acked;
     }
 
+    private static String nameOf(FaultDisk on, String ending) {
+        return on.list().stream().filter(name -> name.endsWith(ending)).findFirst().orElseThrow();
+    }
+
     /** 1: refused cleanly; 0: the exact state. Anything else fails. */
     private int outcome(FaultDisk changed, String what) {
         try (Store store = Store.open(changed, Night.SMALL, StoreEvents.NONE)) {
@@ -117,7 +121,7 @@
         Night night = new Night().open(young);
         night.commit("a=1");
         night.commit("b=2");
-        String log = young.list().stream().filter(name -> name.endsWith(".log")).findFirst().orElseThrow();
+        String log = nameOf(young, ".log");
         byte[] whole = young.content(log);
         int last = Frames.HEADER + Frames.align(Frames.HEAD + whole[Frames.HEADER + 11]);
         whole[last + Frames.HEAD + 10] ^= 1;
@@ -154,7 +158,7 @@
         night.commit("a=1");
         night.commit("b=2");
         acked = night.acked;
-        String log = young.list().stream().filter(name -> name.endsWith(".log")).findFirst().orElseThrow();
+        String log = nameOf(young, ".log");
         byte[] whole = young.content(log);
         int payload = Frames.BATCH_HEAD + Frames.ENTRY_HEAD + 2;
         int group = Frames.HEADER + Frames.align(Frames.HEAD + payload);
@@ -224,7 +228,7 @@
 
     /** The log as it was before: what was written since is lost, and its mirror with it. */
     private static FaultDisk withTailOf(FaultDisk before, FaultDisk now) {
-        String log = now.list().stream().filter(name -> name.endsWith(".log")).findFirst().orElseThrow();
+        String log = nameOf(now, ".log");
         now.put(log, before.content(log));
         return now;
     }
@@ -375,8 +379,7 @@
             store.commit(batch);
             store.checkpoint();
         }
-        String index = large.list().stream().filter(name -> name.endsWith(".index")).findFirst()
-            .orElseThrow();
+        String index = nameOf(large, ".index");
         byte[] content = large.content(index);
         int second = 64 + 8 + ByteBuffer.wrap(content).getInt(64);
         content[second + 8 + 14 + 7] ^= 1; // the last byte of a version: nothing else would miss it in place
@@ -392,7 +395,7 @@
         FaultDisk young = new FaultDisk();
         Night night = new Night().open(young);
         night.commit("a=1");
-        String log = young.list().stream().filter(name -> name.endsWith(".log")).findFirst().orElseThrow();
+        String log = nameOf(young, ".log");
         Manifest manifest = Manifest.decoded(ByteBuffer.wrap(young.content(Manifest.NAME)));
         ByteBuffer made = ByteBuffer.allocate(400);
         for (int i = 0; i < 8; i++) { // of a later record, at each alignment that it could come to stand at
