Operators' listener, and replacing the process on an inherited listening socket

Ruled out: the address of discovery and the limits, both were as before; the failing line was the bind in Program.start.

Change: descriptor 0 is taken over where GW_LISTEN_FD says so; a slot file tells the two processes of each other and shares out descriptors; the old one stops accepting at SIGTERM and moves its clients at once. STATUS, METRICS, SUSPEND and RESTORE are answered by one selector thread. A start that fails ends with code 1 again.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -109,6 +109,11 @@
             lifetime.known ? lifetime.value : 0, meanShare, servers, shares);
     }
 
+    /** The servers that have failed and are left alone for now. */
+    public Set<String> avoided(long at) {
+        return new TreeSet<>(hosts.keySet().stream().filter(id -> at < hosts.get(id).shunUntil).toList());
+    }
+
     /** Takes in what a former node of this name has learnt, of the processes that still run. */
     public void learn(long at, Learnt known) {
         setup.set(known.setup(), known.deviation());
--- /dev/null
+++ b/relay/src/main/java/saltstage/admin/Desk.java
@@ -0,0 +1,18 @@
+package saltstage.admin;
+
+import java.util.concurrent.CompletionStage;
+
+/** What operators may ask. Nothing here may block: who calls it answers all operators. */
+public interface Desk {
+    /** Null where this process serves, else why it does not. */
+    String notReady();
+
+    /** The figures, each line with its end. */
+    String figures();
+
+    /** Nothing more to this backend; null, or why not, once that holds and will outlive this process. */
+    CompletionStage<String> suspend(String id);
+
+    /** Uses that backend again; null, or why not. */
+    CompletionStage<String> restore(String id);
+}
--- a/relay/src/main/java/saltstage/config/Configuration.java
+++ b/relay/src/main/java/saltstage/config/Configuration.java
@@ -24,6 +24,7 @@
     private final String name;
     private final InetSocketAddress listen;
     private final InetSocketAddress discovery;
+    private final InetSocketAddress admin;
     private final long seed;
     private final int sockets;
     private final Map<String, String> pairs = new HashMap<>();
@@ -38,6 +39,7 @@
         name = json.get("name") instanceof String given ? given : "relay";
         listen = HostList.address(Json.member(json, "listen", String.class));
         discovery = HostList.address(Json.member(json, "discovery", String.class));
+        admin = json.get("admin") == null ? null : HostList.address(Json.member(json, "admin", String.class));
         seed = seed(Json.member(json, "seed", String.class));
         Map<String, Object> limits = Json.asObject(json.get("limits"), "limits");
         sockets = Json.member(limits, "sockets", Double.class).intValue();
@@ -144,6 +146,16 @@
         return discovery;
     }
 
+    /** Where operators call, or null. */
+    public InetSocketAddress admin() {
+        return admin;
+    }
+
+    /** The names of the classes, in the order of the settings. */
+    public List<String> classes() {
+        return List.copyOf(classes);
+    }
+
     /** The seed for the module's random numbers. */
     public long seed() {
         return seed;
--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -31,27 +31,33 @@
     private final Duration movesFrom;
     private final Duration movesUntil;
     private final Duration over;
+    private final boolean succeeded;
 
-    /** A drain that began so late after SIGTERM, as far as can be told. */
-    Drain(MonotonicClock clock, Chain chain, Duration longestDeadline, Duration late) {
+    /** A drain that began so late after SIGTERM, as far as can be told; succeeded: another process serves. */
+    Drain(MonotonicClock clock, Chain chain, Duration longestDeadline, Duration late, boolean succeeded) {
+        this.succeeded = succeeded;
         this.clock = clock;
         this.chain = chain;
         start = clock.now().minus(late);
         Duration most = longestDeadline.compareTo(MOST_DEADLINE) < 0 ? longestDeadline : MOST_DEADLINE;
-        movesUntil = notNegative(most.minus(LATE));
-        movesFrom = notNegative(movesUntil.minus(MOVES));
-        over = movesUntil.plus(AFTER_MOVES);
+        Duration last = notNegative(most.minus(LATE));
+        // Where another process serves there is no need to wait for a place to go: what stands leaves at once.
+        movesFrom = succeeded ? Duration.ZERO : notNegative(last.minus(MOVES));
+        movesUntil = succeeded && MOVES.compareTo(last) < 0 ? MOVES : last;
+        over = last.plus(AFTER_MOVES);
     }
 
     void run() {
         Log.info("drain.start", "late_ms", since().toMillis(), "standing", chain.book().standing().size(),
-            "clients", clients());
-        chain.fronts().forEach(Front::leave);
+            "clients", clients(), "succeeded", succeeded);
+        if (!succeeded) { // else nobody comes any more, and who has come is served
+            chain.fronts().forEach(Front::leave);
+        }
         try {
             boolean rejected = false;
             while (since().compareTo(over) < 0 && !done()) {
                 moveSome();
-                if (!rejected && since().compareTo(movesUntil) >= 0) {
+                if (!rejected && since().compareTo(over.minus(AFTER_MOVES)) >= 0) {
                     chain.rejectWaiting();
                     rejected = true;
                 }
@@ -77,6 +83,9 @@
     }
 
     private boolean done() {
+        if (succeeded) {
+            return clients() == 0; // also those whose first line is still on its way
+        }
         return since().compareTo(AT_LEAST) > 0
             && chain.fronts().stream().allMatch(front -> front.requests() == 0);
     }
--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -111,12 +111,13 @@
         public Integer call() throws MalformedException, IOException, InterruptedException {
             OperatorSettings chosen = settings.read();
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
-            Program program = new Program(config.read(), chosen);
+            Program program = new Program(config.read(), chosen, Surroundings.of(System.getenv()));
             // The JVM's own handler ends the process on SIGHUP: all connections would die with it.
             Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read, settings::read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                program.drain();
-                Runtime.getRuntime().halt(0); // a planned end is no failure
+                if (program.drain()) {
+                    Runtime.getRuntime().halt(0); // a planned end is no failure
+                }
             }, "drain"));
             program.start();
             new CountDownLatch(1).await();
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -2,22 +2,27 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import saltstage.admin.AdminListener;
 import saltstage.amqp.AmqpFront;
 import saltstage.config.AmqpSettings;
 import saltstage.config.Configuration;
 import saltstage.config.OperatorSettings;
+import saltstage.handover.Bans;
+import saltstage.handover.Slots;
 import saltstage.keep.Keeper;
+import saltstage.keep.Takeover;
 import saltstage.log.Log;
 import saltstage.log.LogSetup;
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peers;
 import saltstage.memory.Timers;
+import saltstage.metrics.Counts;
 import saltstage.net.NettyTransport;
 import saltstage.net.Transport;
 import saltstage.stage.Chain;
@@ -28,7 +33,6 @@
 
 /** One running relay: its stages, its loops, its start and its end. */
 final class Program {
-    private static final int BACKLOG = 1024;
     private static final Duration BEAT = Duration.ofMillis(500);
     private static final int BEATS_PER_DELAYS = 2;
     private static final int BEATS_PER_TOTALS = 20;
@@ -40,9 +44,15 @@
     private final Keeper keeper;
     private final MonotonicClock clock = new MonotonicClock();
     private final Timers timers = new Timers(clock);
-    private final Peers peers = new Peers();
+    private final Surroundings surroundings;
+    private final Bans bans;
+    private final Counts counts;
+    private final Peers peers;
+    private final Clerk clerk;
     private final Semaphore watchWanted = new Semaphore(0);
     private final Chain chain;
+    private volatile ClientListener listener;
+    private volatile boolean failed;
     private volatile DiscoveryClient discovery;
     private InetSocketAddress discoveryAddress;
     private volatile AmqpFront amqp;
@@ -62,22 +72,59 @@
         OperatorSettings read() throws MalformedException;
     }
 
-    Program(Configuration config, OperatorSettings operator) {
+    Program(Configuration config, OperatorSettings operator, Surroundings surroundings) throws IOException {
+        this.surroundings = surroundings;
         this.config = config;
         this.operator = operator;
         keeper = operator.keeping().map(keeping -> Keeper.open(keeping, clock::now)).orElse(null);
-        chain = new Chain(config, clock, timers, peers, watchWanted::release);
+        Path folder = surroundings.folder();
+        boolean shared = surroundings.inheritsListener() && folder != null;
+        bans = new Bans(admin() == null ? null : folder, config.name());
+        counts = new Counts(config.classes());
+        peers = new Peers(bans::has);
+        chain = new Chain(config, clock, timers, peers, counts, watchWanted::release);
+        clerk = new Clerk(clock, peers, chain, counts, bans, shared ? claim(folder) : null,
+            shared ? folder.resolve(config.name() + ".takeover") : null);
         discoveryAddress = config.discovery();
         discovery = new DiscoveryClient(discoveryAddress);
     }
 
+    private Slots claim(Path folder) {
+        try {
+            return Slots.claim(folder.resolve(config.name() + ".slots"), config.sockets());
+        } catch (IOException e) { // it serves all the same, as if it were alone
+            Log.warn("handover.fault", "why", e.getMessage());
+            return null;
+        }
+    }
+
+    private InetSocketAddress admin() {
+        return surroundings.admin() != null ? surroundings.admin() : config.admin();
+    }
+
     /** Starts to serve; clients are heard from the return on. */
     void start() throws IOException {
-        HostList known = newestKnown();
+        failed = true;
+        begin();
+        failed = false;
+    }
+
+    private void begin() throws IOException {
+        if (admin() != null) { // first of all: who asks meanwhile is told that it starts
+            chain.admit().reserve(AdminListener.DESCRIPTORS);
+            AdminListener operators = new AdminListener(admin(), clerk);
+            Threads.loop("admin", operators::round);
+        }
+        Takeover left = clerk.found();
+        HostList known = newestKnown(left);
+        clerk.listed(known);
         peers.update(known);
         Threads.loop("timers", () -> timers.next().run());
         Threads.loop("discovery", this::watch);
         chain.route().start(known);
+        if (left != null) {
+            chain.route().learn(left.learnt());
+        }
         if (keeper != null) {
             keeper.keptLearnt().ifPresent(chain.route()::learn);
             keeper.accepted(config.text(), operator.text());
@@ -90,11 +137,16 @@
         if (operator.amqp().isPresent()) {
             startAmqp(operator.amqp().get());
         }
-        ServerSocket listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(config.listen(), BACKLOG);
-        Threads.loop("listener", () -> chain.takeIn().accept(listener.accept()));
-        Log.info("relay.ready", "name", config.name(), "listen", listener.getLocalSocketAddress(),
+        ClientListener clients = surroundings.inheritsListener() ? ClientListener.inherited()
+            : ClientListener.at(config.listen());
+        if (admin() != null || surroundings.inheritsListener()) {
+            clerk.look(); // bans and the part of the descriptors hold before the first client
+            Threads.loop("clerk", clerk::round);
+        }
+        listener = clients;
+        clients.start(chain.takeIn()::accept);
+        clerk.ready(null);
+        Log.info("relay.ready", "name", config.name(), "listen", clients.address(),
             "rev", peers.rev(), "peers", peers.all().size());
     }
 
@@ -110,8 +162,8 @@
     }
 
     /** The list as the platform remembers it, or as this relay has kept it, whichever is newer. */
-    private HostList newestKnown() {
-        HostList kept = keeper == null ? null : keeper.keptList().orElse(null);
+    private HostList newestKnown(Takeover left) {
+        HostList kept = left != null ? left.list() : keeper == null ? null : keeper.keptList().orElse(null);
         boolean newer = kept != null && kept.rev() > config.known().rev();
         if (kept != null) {
             Log.info("keep.list", "rev", kept.rev(), "known", config.known().rev(), "taken", newer);
@@ -153,12 +205,27 @@
         }
     }
 
-    /** SIGTERM: moves all clients and returns when none is left, or when time is up. */
-    void drain() {
-        new Drain(clock, chain, config.longestGiveUp(), lateness()).run();
+    /** SIGTERM: moves all clients, returns when none is left or time is up; false where the start failed. */
+    boolean drain() {
+        if (failed) {
+            return false; // the process ends with what went wrong, not as if it had been told to
+        }
+        boolean succeeded = clerk.succeeded();
+        Duration late = lateness();
+        clerk.ready("leaving");
+        ClientListener clients = listener;
+        if (succeeded && clients != null) {
+            try {
+                clients.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        new Drain(clock, chain, config.longestGiveUp(), late, succeeded).run();
         if (keeper != null) {
             keeper.close(LAST_WRITE);
         }
+        return true;
     }
 
     /**
@@ -216,6 +283,7 @@
     }
 
     private void heard(HostList list) {
+        clerk.listed(list);
         chain.listed(peers.update(list), list);
         if (keeper != null) {
             keeper.listed(peers.list());
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/Surroundings.java
@@ -0,0 +1,31 @@
+package saltstage.lifecycle;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/**
+ * What the relay is told by its environment, apart from its configuration: the folder that it shares with a
+ * process that replaces it (null: none), where operators call (null: as the configuration says), and
+ * whether descriptor 0 is the clients' listening socket.
+ */
+record Surroundings(Path folder, InetSocketAddress admin, boolean inheritsListener) {
+    /** Reads the environment. */
+    static Surroundings of(Map<String, String> environment) throws MalformedException {
+        String folder = environment.getOrDefault("TMPDIR", "");
+        String admin = environment.getOrDefault("GW_ADMIN", "");
+        String descriptor = environment.getOrDefault("GW_LISTEN_FD", "");
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new MalformedException("GW_LISTEN_FD: only descriptor 0 can be taken over, not '"
+                + descriptor + "'");
+        }
+        try {
+            return new Surroundings(folder.isEmpty() ? null : Path.of(folder, "saltstage"),
+                admin.isEmpty() ? null : HostList.address(admin), !descriptor.isEmpty());
+        } catch (MalformedException bad) {
+            throw new MalformedException("GW_ADMIN: " + bad.getMessage());
+        }
+    }
+}
--- a/relay/src/main/java/saltstage/memory/Peer.java
+++ b/relay/src/main/java/saltstage/memory/Peer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import saltstage.wire.HostList;
 
 /** A backend process as this relay knows it: its place in the list and the tries that stand there. */
@@ -15,6 +16,7 @@
     /** One late line may be the relay's own fault. */
     private static final int LEAST_SAMPLES = 2;
 
+    private final Predicate<String> suspendedOnes;
     private volatile HostList.Entry entry;
     private volatile boolean ended;
     private final Set<Try> standing = ConcurrentHashMap.newKeySet();
@@ -23,8 +25,9 @@
     private int sampled;
     private boolean slow;
 
-    Peer(HostList.Entry entry) {
+    Peer(HostList.Entry entry, Predicate<String> suspendedOnes) {
         this.entry = entry;
+        this.suspendedOnes = suspendedOnes;
     }
 
     /** What discovery last said of it. */
@@ -47,7 +50,12 @@
 
     /** Whether it may be sent new work, by all that was told up to now. */
     public boolean takesNew() {
-        return !ended && entry.state() == HostList.State.READY;
+        return !ended && entry.state() == HostList.State.READY && !suspended();
+    }
+
+    /** Whether operators have suspended it: nothing more may be sent there, whatever the list says. */
+    public boolean suspended() {
+        return suspendedOnes.test(entry.uid());
     }
 
     /** The tries that stand at it; a live view. */
--- a/relay/src/main/java/saltstage/memory/Peers.java
+++ b/relay/src/main/java/saltstage/memory/Peers.java
@@ -7,13 +7,30 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import saltstage.wire.HostList;
 
 /** The list of backends as this relay has it. */
 public final class Peers {
     private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+    private final Predicate<String> suspended;
     private volatile long rev;
 
+    /** No backend is suspended. */
+    public Peers() {
+        this(uid -> false);
+    }
+
+    /** A list of which operators may have suspended some. */
+    public Peers(Predicate<String> suspended) {
+        this.suspended = suspended;
+    }
+
+    /** Whether operators have suspended this backend, listed or not. */
+    public boolean suspended(String uid) {
+        return suspended.test(uid);
+    }
+
     /** The version of the list held. */
     public long rev() {
         return rev;
@@ -48,7 +65,7 @@
                 ended.add(held);
             }
             if (entry.state() != HostList.State.GONE) {
-                peers.computeIfAbsent(entry.uid(), uid -> new Peer(entry)).update(entry);
+                peers.computeIfAbsent(entry.uid(), uid -> new Peer(entry, suspended)).update(entry);
             }
         }
         if (list.all()) {
--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -38,6 +38,7 @@
     private final LineTry tries;
     private final Book book;
     private volatile int sockets;
+    private volatile int reserved;
     private final AtomicLong ids = new AtomicLong();
     private final Set<String> open = ConcurrentHashMap.newKeySet();
 
@@ -82,7 +83,7 @@
         client.asks(line);
         RequestContext context = new RequestContext(ids.incrementAndGet(), terms, deadline, client);
         book.taken();
-        if (open.size() > requests(sockets)) {
+        if (open.size() > requests(sockets - reserved)) {
             // The last descriptors are for the backends of those that are already here.
             Log.warn("admit.full", "requests", open.size(), "sockets", sockets);
             book.reject(context, config.longestRetryAfter());
@@ -115,7 +116,17 @@
 
     /** So many descriptors are another front's; said before clients come. */
     public void reserve(int descriptors) {
-        sockets -= descriptors;
+        reserved += descriptors;
+    }
+
+    /** So many descriptors are the relay's now; what is over that already stays. */
+    void descriptors(int most) {
+        sockets = most;
+    }
+
+    /** What the relay itself needs, and two for each request. */
+    int descriptorsInUse() {
+        return RESERVED_SOCKETS + reserved + 2 * open.size();
     }
 
     /** The request's connection is over: its id may be used anew. */
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -17,6 +17,7 @@
 import saltstage.memory.RequestContext;
 import saltstage.memory.RequestContext.Phase;
 import saltstage.memory.Try;
+import saltstage.metrics.Counts;
 import saltstage.wire.Answer;
 
 /** Books what became of requests: the one final answer, the outcome for the module, loads and delays. */
@@ -30,6 +31,7 @@
     private final Configuration config;
     private final MonotonicClock clock;
     private final Peers peers;
+    private final Counts counts;
     private Route route;
     private final Set<Try> standing = ConcurrentHashMap.newKeySet();
     private final AtomicLong taken = new AtomicLong();
@@ -39,7 +41,8 @@
     private final AtomicLong left = new AtomicLong();
     private final AtomicLong resets = new AtomicLong();
 
-    Book(Configuration config, MonotonicClock clock, Peers peers) {
+    Book(Configuration config, MonotonicClock clock, Peers peers, Counts counts) {
+        this.counts = counts;
         this.config = config;
         this.clock = clock;
         this.peers = peers;
@@ -53,10 +56,16 @@
         taken.incrementAndGet();
     }
 
+    /** A try was written whole. */
+    public void written() {
+        counts.tried();
+    }
+
     /** The final answer 'refused', with the advice when to come again. */
     void reject(RequestContext context, Duration retryAfter) {
         if (context.end(Phase.WAITING)) {
             rejected.incrementAndGet();
+            counts.ended(context.terms().serviceClass(), Counts.End.DROPPED);
             context.client().refused(retryAfter);
         }
     }
@@ -79,6 +88,7 @@
             return false;
         }
         failed.incrementAndGet();
+        counts.ended(context.terms().serviceClass(), Counts.End.BAD_GATEWAY);
         context.client().failed(why);
         Try out = context.current();
         if (out != null) {
@@ -121,6 +131,7 @@
             return false;
         }
         stood.incrementAndGet();
+        counts.ended(up.context().terms().serviceClass(), Counts.End.PASSED);
         standing.add(up);
         up.peer().standing().add(up);
         if (restored) {
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -11,6 +11,7 @@
 import saltstage.memory.RequestContext;
 import saltstage.memory.Timers;
 import saltstage.memory.Try;
+import saltstage.metrics.Counts;
 import saltstage.wire.HostList;
 
 /** The stages, joined: take in, admit, route, send, relay, book. */
@@ -23,21 +24,23 @@
     private final LineRelay relay;
     private final Book book;
     private final Admit admit;
+    private final Doorway doorway;
     private final TakeIn takeIn;
     private final List<Front> fronts = new CopyOnWriteArrayList<>();
 
     /** Joins the stages; watch subscribes to discovery. */
-    public Chain(Configuration config, MonotonicClock clock, Timers timers, Peers peers, Runnable watch) {
+    public Chain(Configuration config, MonotonicClock clock, Timers timers, Peers peers, Counts counts,
+            Runnable watch) {
         this.timers = timers;
-        book = new Book(config, clock, peers);
+        book = new Book(config, clock, peers, counts);
         relay = new LineRelay(clock, timers, book);
         LineTry tries = new LineTry(config, clock, peers, book, relay);
         Send send = new Send(clock, peers, book);
         Probe probe = new Probe(peers);
-        route = new Route(config, clock, timers, effects(send, probe, watch));
+        route = new Route(config, clock, timers, effects(send, probe, watch), peers::suspended);
         book.route(route);
         probe.route(route);
-        Doorway doorway = new Doorway(Admit.doorway(config.sockets()));
+        doorway = new Doorway(Admit.doorway(config.sockets()));
         admit = new Admit(config, clock, timers, route, tries, book);
         takeIn = new TakeIn(doorway, admit, socket -> new LineClient(socket, timers, tries, relay), relay,
             book);
@@ -123,6 +126,17 @@
         }
     }
 
+    /** So many descriptors are this process's; said at the start, and again while another takes part of them. */
+    public void descriptors(int most) {
+        admit.descriptors(most);
+        doorway.room(Admit.doorway(most));
+    }
+
+    /** About how many descriptors are in use. */
+    public int descriptorsInUse() {
+        return admit.descriptorsInUse() + doorway.size();
+    }
+
     /** Looks for backends that bring nothing back. */
     public void checkSilence() {
         relay.checkSilence();
--- a/relay/src/main/java/saltstage/stage/Doorway.java
+++ b/relay/src/main/java/saltstage/stage/Doorway.java
@@ -13,7 +13,7 @@
     /** Of those that have sent something, the thread that reads it is merely late: some are passed over. */
     private static final int MOST_PASSED_OVER = 16;
 
-    private final int room;
+    private int room;
     private final Set<LineClient> inside = new LinkedHashSet<>();
 
     /** A doorway for so many. */
@@ -21,6 +21,11 @@
         this.room = room;
     }
 
+    /** There is room for so many from now on; who is inside stays. */
+    synchronized void room(int now) {
+        room = now;
+    }
+
     /** Takes one in; returns the one that has to go for it, or null. */
     synchronized LineClient enter(LineClient client) {
         LineClient out = inside.size() < room ? null : first();
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -69,10 +69,11 @@
             begun.connected(backend);
             Duration left = Duration.between(clock.now(), until);
             // Connecting takes time: the backend may have been told to drain, or the request's time be up.
-            if (!restore && !peer.takesNew() || left.isNegative() || left.isZero()) {
+            if (!restore && !peer.takesNew() || peer.suspended() || left.isNegative() || left.isZero()) {
                 return Outcome.UNREACHABLE;
             }
             backend.send(client(begun.context()).open().withPatience(left));
+            book.written();
         } catch (IOException neverSent) {
             return Outcome.UNREACHABLE;
         }
--- a/relay/src/main/java/saltstage/stage/Probe.java
+++ b/relay/src/main/java/saltstage/stage/Probe.java
@@ -56,7 +56,9 @@
         while (!peer.ended()) {
             if (asked.tryAcquire(LOOK_S, TimeUnit.SECONDS)) {
                 asked.drainPermits();
-                line = probe(peer, line);
+                if (!peer.suspended()) {
+                    line = probe(peer, line);
+                }
             }
         }
         wanted.remove(peer);
--- a/relay/src/main/java/saltstage/stage/Route.java
+++ b/relay/src/main/java/saltstage/stage/Route.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import saltstage.Api;
 import saltstage.Api.Health;
 import saltstage.Api.Listing;
@@ -38,6 +40,7 @@
     private final MonotonicClock clock;
     private final Timers timers;
     private final Effects effects;
+    private final Predicate<String> suspended;
     private final Logic logic;
     private final ReentrantLock lock = new ReentrantLock(true);
     private final Map<Long, RequestContext> contexts = new ConcurrentHashMap<>();
@@ -69,7 +72,9 @@
     }
 
     /** The decisions for this configuration. */
-    public Route(Configuration config, MonotonicClock clock, Timers timers, Effects effects) {
+    public Route(Configuration config, MonotonicClock clock, Timers timers, Effects effects,
+            Predicate<String> suspended) {
+        this.suspended = suspended;
         this.config = config;
         this.clock = clock;
         this.timers = timers;
@@ -93,6 +98,21 @@
         feed((logic, now) -> logic.list(now, kind, servers));
     }
 
+    /** Operators have suspended or restored a backend, if it is listed: to the module it drains, or no more. */
+    public void relist(HostList.Entry entry) {
+        feed((logic, now) -> logic.list(now, Listing.CHANGES, List.of(server(entry))));
+    }
+
+    /** The backends that the module leaves alone just now. */
+    public Set<String> avoided() {
+        lock.lock();
+        try {
+            return logic.avoided(toModule(clock.now()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** A call to discovery failed, or the watch broke. */
     public void listRefused() {
         feed((logic, now) -> logic.list(now, Listing.REFUSED, List.of()));
@@ -201,7 +221,7 @@
 
     private Server server(HostList.Entry entry) {
         Health health = switch (entry.state()) {
-            case READY -> Health.READY;
+            case READY -> suspended.test(entry.uid()) ? Health.DRAINING : Health.READY;
             case DRAINING -> Health.DRAINING;
             case GONE -> Health.GONE;
         };
--- a/relay/src/test/java/saltstage/PackagesTest.java
+++ b/relay/src/test/java/saltstage/PackagesTest.java
@@ -16,17 +16,20 @@
 class PackagesTest {
     private static final Path ROOT = Path.of("src/main/java/saltstage");
     private static final Pattern IMPORT = Pattern.compile("import (?:static )?saltstage\\.([a-z]+)\\.");
-    private static final Map<String, Set<String>> ALLOWED = Map.of(
-        "store", Set.of(),
-        "log", Set.of(),
-        "net", Set.of(),
-        "wire", Set.of(),
-        "config", Set.of("wire", "log"),
-        "memory", Set.of("wire"),
-        "sim", Set.of("config", "wire"),
-        "keep", Set.of("store", "config", "log", "wire"),
-        "stage", Set.of("memory", "wire", "config", "log"),
-        "amqp", Set.of("net", "stage", "memory", "wire", "config", "log"));
+    private static final Map<String, Set<String>> ALLOWED = Map.ofEntries(
+        Map.entry("store", Set.of()),
+        Map.entry("log", Set.of()),
+        Map.entry("net", Set.of()),
+        Map.entry("wire", Set.of()),
+        Map.entry("metrics", Set.of()),
+        Map.entry("admin", Set.of("log")),
+        Map.entry("handover", Set.of("log")),
+        Map.entry("config", Set.of("wire", "log")),
+        Map.entry("memory", Set.of("wire")),
+        Map.entry("sim", Set.of("config", "wire")),
+        Map.entry("keep", Set.of("store", "config", "log", "wire")),
+        Map.entry("stage", Set.of("memory", "metrics", "wire", "config", "log")),
+        Map.entry("amqp", Set.of("net", "stage", "memory", "wire", "config", "log")));
 
     @Test
     void eachPackageImportsOnlyWhatStandsBelowIt() throws IOException {
--- a/relay/src/test/java/saltstage/amqp/FrontFuzzTest.java
+++ b/relay/src/test/java/saltstage/amqp/FrontFuzzTest.java
@@ -158,7 +158,8 @@
             MonotonicClock clock = new MonotonicClock();
             Peers peers = new Peers();
             peers.update(config.known());
-            Chain chain = new Chain(config, clock, new Timers(clock), peers, () -> { });
+            Chain chain = new Chain(config, clock, new Timers(clock), peers,
+                new saltstage.metrics.Counts(config.classes()), () -> { });
             chain.route().start(config.known());
             return new AmqpFront(OperatorSettings.of("f", "amqp {\n listen = \"127.0.0.1:1\"\n"
                 + " anonymous_tenant = \"any\"\n}\n").amqp().orElseThrow(), config, chain, clock, transport);
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/Platform.java
@@ -0,0 +1,85 @@
+package saltstage.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The platform's part in replacing a process: holds the clients' listening socket and starts relays that
+ * inherit it as descriptor 0. Java cannot hand descriptors on; the shell's neighbour that is on every Debian can.
+ */
+final class Platform implements AutoCloseable {
+    private static final String HOLDER = String.join("\n",
+        "use strict; use Socket; use POSIX ':sys_wait_h'; $| = 1;",
+        "socket(my $s, PF_INET, SOCK_STREAM, 0) or die; bind($s, sockaddr_in(0, INADDR_LOOPBACK)) or die;",
+        "listen($s, 128) or die; print((sockaddr_in(getsockname($s)))[0], \"\\n\");",
+        "$SIG{CHLD} = sub { while ((my $p = waitpid(-1, WNOHANG)) > 0) { print \"ended $p \", $? >> 8, \"\\n\" } };",
+        "while (my $line = <STDIN>) { my $p = fork(); if (!$p) { open(STDIN, '<&', $s) or die;",
+        "exec('/bin/sh', '-c', $line); } print \"started $p\\n\" }");
+
+    final Map<Long, Integer> ended = new ConcurrentHashMap<>();
+    final Path folder = Files.createTempDirectory("saltstage-platform");
+    final int port;
+    private final Process holder = new ProcessBuilder("perl", "-e", HOLDER)
+        .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+    private final BufferedReader heard =
+        new BufferedReader(new InputStreamReader(holder.getInputStream(), StandardCharsets.US_ASCII));
+    private final List<Long> started = new ArrayList<>();
+
+    Platform() throws IOException {
+        port = Integer.parseInt(heard.readLine());
+        Thread reader = new Thread(() -> heard.lines().forEach(this::note));
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void note(String line) {
+        String[] words = line.split(" ");
+        if (words[0].equals("started")) {
+            synchronized (started) {
+                started.add(Long.parseLong(words[1]));
+                started.notifyAll();
+            }
+        } else {
+            ended.put(Long.parseLong(words[1]), Integer.parseInt(words[2]));
+        }
+    }
+
+    /** Starts a relay with this configuration and operators' port; its log goes to the file. */
+    long start(Path config, int admin, Path log) throws Exception {
+        List<String> words = World.program(List.of("serve", "--config", config.toString())).command();
+        String line = "TMPDIR=" + folder + " GW_LISTEN_FD=0 GW_ADMIN=127.0.0.1:" + admin + " exec "
+            + String.join(" ", words) + " > " + log + " 2>&1\n";
+        synchronized (started) {
+            int before = started.size();
+            holder.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
+            holder.getOutputStream().flush();
+            while (started.size() == before) {
+                started.wait(World.PATIENCE_MS);
+            }
+            return started.get(before);
+        }
+    }
+
+    static void signal(long pid, String signal) throws Exception {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+    }
+
+    @Override
+    public void close() throws Exception {
+        holder.destroy();
+        synchronized (started) {
+            for (long pid : started) {
+                ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
+            }
+        }
+        World.delete(folder);
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -0,0 +1,139 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+
+/** A process is replaced by another that inherits the clients' listening socket, held by the platform. */
+public class UpgradeTest {
+    private World world;
+    private Platform platform;
+    private Service backend;
+    private Path config;
+
+    @Before
+    public void start() throws Exception {
+        world = new World();
+        platform = new Platform();
+        world.clientsAt(platform.port);
+        backend = world.backend();
+        config = platform.folder.resolve("config.json");
+        Files.writeString(config, world.config(4096,
+            World.list(1, true, World.target("s-1", backend.endpoint(), "ready"))));
+    }
+
+    @After
+    public void stop() throws Exception {
+        platform.close();
+        world.close();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0)) {
+            return any.getLocalPort();
+        }
+    }
+
+    private record Relay(long pid, int admin, Path log) { }
+
+    private Relay begin(String name) throws Exception {
+        int admin = freePort();
+        Path log = platform.folder.resolve(name + ".log");
+        return new Relay(platform.start(config, admin, log), admin, log);
+    }
+
+    private Relay serving(String name) throws Exception {
+        Relay relay = begin(name);
+        World.await(name + " serves", () -> ready(relay));
+        return relay;
+    }
+
+    private boolean ready(Relay relay) {
+        try {
+            return world.call(relay.admin(), "STATUS").startsWith("done");
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    @Test
+    public void nobodyIsLostAtTheDoorAndWhoStandsIsMovedToTheNewProcess() throws Exception {
+        Relay old = serving("old");
+        Line client = world.open("u1", 20_000);
+        Line side = world.stand(backend, client);
+        Line waiting = world.open("u2", 20_000);
+        Line waitingSide = backend.accept();
+        assertTrue(waitingSide.hear().startsWith("OPEN u2 "));
+        Line silent = world.client().raw("OPEN u3 "); // accepted, its line half way
+        Thread.sleep(100);
+        Relay next = serving("next");
+        Platform.signal(old.pid(), "TERM");
+        List<Line> others = new ArrayList<>();
+        for (int i = 0; i < 20; i++) { // newcomers in the middle of it, each served
+            Line newcomer = world.open("n" + i, 20_000);
+            others.add(world.stand(backend, newcomer));
+            Thread.sleep(20);
+        }
+        silent.say("7f3a9c21e0b4d655 c=chat,t=acme,d=20000,g=5c0f6e1a");
+        world.stand(backend, silent);
+        waitingSide.say("UP r2");
+        assertEquals("UP r2", waiting.hear());
+        for (Line standing : List.of(client, silent, waiting)) {
+            assertEquals("MOVE", standing.hear());
+            assertNull(standing.hear());
+        }
+        assertNull(side.hear());
+        World.await("the old process ends", () -> platform.ended.containsKey(old.pid()));
+        assertEquals(0, (int) platform.ended.get(old.pid()));
+        world.stand(backend, world.open("u9", 20_000));
+        assertTrue(ready(next));
+        assertTrue(Files.readString(old.log()).contains("succeeded=true"));
+    }
+
+    @Test
+    public void newProcessThatDiesBeforeItIsReadyChangesNothingAndTwoUpgradesWorkInARow() throws Exception {
+        Relay first = serving("first");
+        Relay dead = begin("dead");
+        Platform.signal(dead.pid(), "KILL");
+        World.await("it is gone", () -> platform.ended.containsKey(dead.pid()));
+        world.stand(backend, world.open("d1", 20_000));
+        Relay old = first;
+        for (String name : List.of("second", "third")) {
+            Relay next = serving(name);
+            Platform.signal(old.pid(), "TERM");
+            long pid = old.pid();
+            World.await("the one before ends", () -> platform.ended.containsKey(pid));
+            assertEquals(0, (int) platform.ended.get(pid));
+            world.stand(backend, world.open("to-" + name, 20_000));
+            old = next;
+        }
+    }
+
+    @Test
+    public void descriptorThatIsNoListeningSocketEndsTheStartWithOneLine() throws Exception {
+        ProcessBuilder relay = World.program(List.of("serve", "--config", config.toString()));
+        relay.environment().put("GW_LISTEN_FD", "0");
+        relay.redirectErrorStream(true).redirectInput(new java.io.File("/dev/null"));
+        Process process = relay.start();
+        String said = new String(process.getInputStream().readAllBytes());
+        assertEquals(1, process.waitFor());
+        assertTrue(said, said.contains("saltstage: descriptor 0 is no listening socket"));
+        relay.environment().put("GW_LISTEN_FD", "7");
+        process = relay.start();
+        assertEquals("saltstage: GW_LISTEN_FD: only descriptor 0 can be taken over, not '7'\n",
+            new String(process.getInputStream().readAllBytes()));
+        assertEquals(1, process.waitFor());
+    }
+}
--- a/relay/src/test/java/saltstage/process/World.java
+++ b/relay/src/test/java/saltstage/process/World.java
@@ -15,7 +15,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -30,7 +32,9 @@
     final List<String> log = new CopyOnWriteArrayList<>();
     final Service discovery = new Service();
     private final List<AutoCloseable> toClose = new ArrayList<>();
-    private final int port = freePort();
+    final int admin = freePort();
+    final Map<String, String> environment = new HashMap<>();
+    private int port = freePort();
     private Process process;
     private Path file;
 
@@ -163,8 +167,14 @@
             toClose.add(() -> Files.delete(file));
         }
         Files.writeString(file, config);
-        process = settings == null ? launch("serve", "--config", file.toString())
-            : launch("serve", "--config", file.toString(), "--settings", settings.toString());
+        List<String> arguments = new ArrayList<>(List.of("serve", "--config", file.toString()));
+        if (settings != null) {
+            arguments.addAll(List.of("--settings", settings.toString()));
+        }
+        ProcessBuilder relay = program(arguments).redirectErrorStream(true)
+            .redirectInput(new File("/dev/null"));
+        relay.environment().putAll(environment);
+        process = relay.start();
         Thread reader = new Thread(() -> drainLog(process), "log");
         reader.setDaemon(true);
         reader.start();
@@ -219,6 +229,40 @@
         }
     }
 
+    /** A connection of an operator's to this port. */
+    Line operator(int at) throws IOException {
+        Line line = new Line(new Socket("127.0.0.1", at));
+        toClose.add(line);
+        return line;
+    }
+
+    /** Deletes a folder and what is in it; a relay that is still ending may leave a file. */
+    static void delete(Path folder) throws IOException {
+        try (java.util.stream.Stream<Path> files = Files.walk(folder)) {
+            files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        }
+    }
+
+    /** What an operator's call is answered, all lines. */
+    String call(int at, String call) throws IOException {
+        try (Line line = operator(at).say(call)) {
+            StringBuilder all = new StringBuilder();
+            for (String heard = line.hear(); heard != null; heard = line.hear()) {
+                all.append(heard).append('\n');
+            }
+            return all.toString();
+        }
+    }
+
+    String call(String call) throws IOException {
+        return call(admin, call);
+    }
+
+    /** Clients come to this port from now on. */
+    void clientsAt(int where) {
+        port = where;
+    }
+
     /** A new client connection. */
     Line client() throws IOException {
         Socket socket = new Socket();
