Suspend and restore backends by hand, over list changes, kills and upgrades

Change: a suspended backend drains as far as the module is told; a try looks at the bans just before its first byte; clients there are moved over two seconds.

--- a/relay/src/main/java/saltstage/handover/Bans.java
+++ b/relay/src/main/java/saltstage/handover/Bans.java
@@ -28,6 +28,7 @@
     private final FileChannel lock;
     private volatile Set<String> ids = Set.of();
     private List<Object> seen = List.of();
+    private boolean torn;
 
     /** The bans of this folder and name; without a folder they last as long as this process. */
     public Bans(Path dir, String name) throws IOException {
@@ -59,18 +60,17 @@
             return;
         }
         try (FileLock held = lock()) {
-            boolean torn = false;
             try {
                 read();
             } catch (IOException bad) {
                 Log.warn("bans.unreadable", "why", bad.getMessage()); // what is known here replaces it
-                torn = true;
             }
             if (ids.contains(id) != banned || torn) {
                 Set<String> now = changed(id, banned);
                 file.write(String.join("\n", now).getBytes(StandardCharsets.UTF_8));
                 ids = now;
                 seen = stamp();
+                torn = false;
             }
         }
     }
@@ -117,9 +117,11 @@
             return;
         }
         seen = now;
+        torn = true; // until it was read
         byte[] content = file.read();
         String text = content == null ? "" : new String(content, StandardCharsets.UTF_8);
         ids = text.isEmpty() ? Set.of() : Set.copyOf(Arrays.asList(text.split("\n")));
+        torn = false;
     }
 
     private List<Object> stamp() throws IOException {
--- a/relay/src/main/java/saltstage/handover/Slots.java
+++ b/relay/src/main/java/saltstage/handover/Slots.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -50,7 +51,7 @@
         long until = System.nanoTime() + CLAIM.toNanos();
         do {
             for (int i = 0; i < COUNT; i++) {
-                FileLock lock = file.tryLock((long) i * BYTES, BYTES, false);
+                FileLock lock = lock(file, i);
                 if (lock != null) {
                     Slots slots = new Slots(file, i, limit);
                     slots.write();
@@ -64,6 +65,14 @@
         throw new IOException(path + ": both slots are taken");
     }
 
+    private static FileLock lock(FileChannel file, int slot) throws IOException {
+        try {
+            return file.tryLock((long) slot * BYTES, BYTES, false);
+        } catch (OverlappingFileLockException held) { // by this process, which may have two in a test
+            return null;
+        }
+    }
+
     private static void pause() throws IOException {
         try {
             Thread.sleep(PAUSE.toMillis());
@@ -116,7 +125,7 @@
 
     private Other other() throws IOException {
         int at = (1 - own) * BYTES;
-        FileLock free = file.tryLock(at, BYTES, false);
+        FileLock free = lock(file, 1 - own);
         if (free != null) {
             free.release(); // its process is gone
             return null;
--- a/relay/src/main/java/saltstage/lifecycle/Clerk.java
+++ b/relay/src/main/java/saltstage/lifecycle/Clerk.java
@@ -4,6 +4,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -20,9 +23,11 @@
 import saltstage.memory.MonotonicClock;
 import saltstage.memory.Peer;
 import saltstage.memory.Peers;
+import saltstage.memory.Try;
 import saltstage.metrics.Counts;
 import saltstage.stage.Chain;
 import saltstage.stage.Front;
+import saltstage.stage.Pace;
 import saltstage.wire.HostList;
 
 /**
@@ -30,6 +35,8 @@
  * this relay is left, its part of the descriptors. Who asks for figures reads what was last looked at.
  */
 final class Clerk implements Desk {
+    /** Long enough that the others are not flooded; a machine is not restarted sooner than that by hand. */
+    private static final Duration MOVES = Duration.ofSeconds(2);
     private static final Duration LOOK = Duration.ofMillis(200);
     private static final int LOOKS_PER_TAKEOVER = 5;
     private static final Duration ANSWER = Duration.ofMillis(700);
@@ -47,6 +54,7 @@
     private final BlockingQueue<Runnable> calls = new LinkedBlockingQueue<>(MOST_QUEUED);
     private volatile Set<String> avoided = Set.of();
     private volatile String notReady = "starting";
+    private final Map<String, Instant> since = new HashMap<>();
     private Set<String> applied = Set.of();
     private int looks;
 
@@ -167,6 +175,7 @@
             Log.warn("bans.unreadable", "why", bad.getMessage());
         }
         apply();
+        moveOff();
         avoided = chain.route().avoided();
         if (slots == null) {
             return;
@@ -190,7 +199,25 @@
         for (Peer peer : peers.all()) {
             String uid = peer.entry().uid();
             if (now.contains(uid) != before.contains(uid)) {
-                chain.route().relist(peer.entry());
+                chain.route().relist(peer);
+            }
+        }
+    }
+
+    /** Clients do not stand where a backend is about to be restarted: they are moved in time, a few at once. */
+    private void moveOff() {
+        since.keySet().retainAll(bans.all());
+        Instant now = clock.now();
+        for (String uid : bans.all()) {
+            Instant until = since.computeIfAbsent(uid, any -> now).plus(MOVES);
+            Peer peer = peers.find(uid);
+            if (peer == null || peer.standing().isEmpty()) {
+                continue;
+            }
+            List<Try> standing = List.copyOf(peer.standing());
+            long due = Pace.due(standing.size(), Duration.between(now, until), LOOK);
+            for (int i = 0; i < standing.size() && due > 0; i++) {
+                due -= chain.move(standing.get(i), "suspended") ? 1 : 0;
             }
         }
     }
--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -8,6 +8,7 @@
 import saltstage.memory.Try;
 import saltstage.stage.Chain;
 import saltstage.stage.Front;
+import saltstage.stage.Pace;
 
 /**
  * The end after SIGTERM. SIGKILL comes 0.7 s after the longest deadline at the earliest, which counts as 3 s
@@ -92,13 +93,11 @@
 
     /** As many of those that stand as the steps that are left ask for, so that the others are not flooded. */
     private void moveSome() {
-        long left = movesUntil.minus(since()).toMillis();
         if (since().compareTo(movesFrom) < 0) {
             return;
         }
         List<Try> standing = List.copyOf(chain.book().standing());
-        long steps = Math.max(1, left / STEP.toMillis());
-        long due = (standing.size() + steps - 1) / steps;
+        long due = Pace.due(standing.size(), movesUntil.minus(since()), STEP);
         for (Try up : standing) {
             if (due <= 0) {
                 break;
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -69,7 +69,10 @@
             begun.connected(backend);
             Duration left = Duration.between(clock.now(), until);
             // Connecting takes time: the backend may have been told to drain, or the request's time be up.
-            if (!restore && !peer.takesNew() || peer.suspended() || left.isNegative() || left.isZero()) {
+            if (peer.suspended()) {
+                return Outcome.MOOT; // by hand, while this connected: nothing against the backend
+            }
+            if (!restore && !peer.takesNew() || left.isNegative() || left.isZero()) {
                 return Outcome.UNREACHABLE;
             }
             backend.send(client(begun.context()).open().withPatience(left));
--- a/relay/src/main/java/saltstage/stage/Route.java
+++ b/relay/src/main/java/saltstage/stage/Route.java
@@ -22,6 +22,7 @@
 import saltstage.config.Configuration;
 import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
+import saltstage.memory.Peer;
 import saltstage.memory.RequestContext;
 import saltstage.memory.Terms;
 import saltstage.memory.Timers;
@@ -99,8 +100,12 @@
     }
 
     /** Operators have suspended or restored a backend, if it is listed: to the module it drains, or no more. */
-    public void relist(HostList.Entry entry) {
-        feed((logic, now) -> logic.list(now, Listing.CHANGES, List.of(server(entry))));
+    public void relist(Peer peer) {
+        feed((logic, now) -> {
+            if (!peer.ended()) { // else the module is told of its end, or has been
+                logic.list(now, Listing.CHANGES, List.of(server(peer.entry())));
+            }
+        });
     }
 
     /** The backends that the module leaves alone just now. */
