--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -41,7 +41,8 @@
     private static CommandLine commandLine(boolean serving) {
         CommandLine line = new CommandLine(new Main());
         if (!serving) {
-            line.addSubcommand(new StoreCommand()).addSubcommand(new ConfigCommand());
+            line.addSubcommand(new StoreCommand()).addSubcommand(new ConfigCommand())
+                .addSubcommand(new OperatorCommand());
         }
         // One plain line, whatever is wrong: picocli would add the whole usage.
         line.setParameterExceptionHandler((e, args) -> complain(e.getMessage(), USAGE));
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/OperatorCommand.java
@@ -0,0 +1,167 @@
+package saltstage.lifecycle;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/** The calls of operators to a relay that runs. */
+@Command(name = "call", mixinStandardHelpOptions = true, description = {
+    "Calls a relay that runs, where its GW_ADMIN or the admin of its configuration says.",
+    "Ends with 0 where the relay said yes, 1 where it said no, 3 where it did not answer."},
+    subcommands = {OperatorCommand.Status.class, OperatorCommand.Metrics.class, OperatorCommand.Suspend.class,
+        OperatorCommand.Restore.class, CommandLine.HelpCommand.class})
+final class OperatorCommand implements Callable<Integer> {
+    private static final int NO = 1;
+    private static final int SILENT = 3;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+            "a sub-command is needed; see 'call help'");
+    }
+
+    /** Where the relay is called, and how its answer is shown. */
+    static final class Relay {
+        private static final int MOST_BYTES = 1 << 20;
+
+        @Option(names = "--admin", paramLabel = "IP:PORT", defaultValue = "${env:GW_ADMIN}",
+            description = "where the relay is called (default: what GW_ADMIN names)")
+        private String admin;
+
+        @Option(names = "--timeout", paramLabel = "MS", defaultValue = "2000",
+            description = "how long to wait, in milliseconds (default: ${DEFAULT-VALUE})")
+        private int timeout;
+
+        @Option(names = "--json", description = "one JSON object instead of lines")
+        private boolean json;
+
+        private int ask(String call) throws MalformedException {
+            if (admin == null || admin.isEmpty()) {
+                throw new MalformedException("no address: set GW_ADMIN or give --admin");
+            }
+            InetSocketAddress at = HostList.address(admin);
+            List<String> lines;
+            try {
+                lines = answer(at, call);
+            } catch (IOException silent) {
+                System.err.println("saltstage: " + admin + " did not answer: " + silent.getMessage());
+                return SILENT;
+            }
+            String last = lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+            boolean yes = last.equals("end") || last.startsWith("done");
+            if (!yes && !last.startsWith("error")) {
+                System.err.println("saltstage: " + admin + " did not answer whole");
+                return SILENT;
+            }
+            System.out.println(json ? json(yes, lines) : String.join(System.lineSeparator(), lines));
+            return yes ? 0 : NO;
+        }
+
+        private List<String> answer(InetSocketAddress at, String call) throws IOException {
+            long until = System.nanoTime() + Duration.ofMillis(timeout).toNanos();
+            try (Socket socket = new Socket()) {
+                socket.connect(at, timeout);
+                socket.getOutputStream().write((call + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                InputStream in = socket.getInputStream();
+                StringBuilder text = new StringBuilder();
+                for (int c = 0; c >= 0 && text.length() < MOST_BYTES;) {
+                    socket.setSoTimeout((int) Math.max(1, (until - System.nanoTime()) / 1_000_000));
+                    c = in.read();
+                    if (c >= 0) {
+                        text.append((char) c);
+                    }
+                }
+                return text.toString().lines().toList();
+            }
+        }
+
+        /** The names are the relay's own; none holds what JSON would have to escape. */
+        private static String json(boolean yes, List<String> lines) {
+            List<String> members = new ArrayList<>(List.of("\"ok\":" + yes));
+            Map<String, String> figures = new TreeMap<>();
+            for (String line : lines) {
+                int colon = line.indexOf(':');
+                int bar = line.indexOf('|');
+                if (line.startsWith("app.") && colon > 0 && bar > colon) {
+                    figures.put(line.substring(0, colon), line.substring(colon + 1, bar));
+                } else if (!line.equals("end")) {
+                    members.add("\"said\":\"" + line.replace('\\', '/').replace('"', '\'') + "\"");
+                }
+            }
+            figures.forEach((name, value) -> members.add("\"" + name + "\":" + value));
+            return "{" + String.join(",", members) + "}";
+        }
+    }
+
+    /** Whether it serves. */
+    @Command(name = "status", description = "Whether this process serves.", mixinStandardHelpOptions = true)
+    static final class Status implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Relay relay;
+
+        @Override
+        public Integer call() throws MalformedException {
+            return relay.ask("STATUS");
+        }
+    }
+
+    /** Its figures. */
+    @Command(name = "metrics", description = "The figures of this process.", mixinStandardHelpOptions = true)
+    static final class Metrics implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Relay relay;
+
+        @Override
+        public Integer call() throws MalformedException {
+            return relay.ask("METRICS");
+        }
+    }
+
+    /** Takes a backend out. */
+    @Command(name = "suspend", description = "Nothing more to a backend, until it is restored.",
+        mixinStandardHelpOptions = true)
+    static final class Suspend implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Relay relay;
+
+        @Parameters(paramLabel = "ID", description = "the backend, as discovery names it")
+        private String id;
+
+        @Override
+        public Integer call() throws MalformedException {
+            return relay.ask("SUSPEND " + id);
+        }
+    }
+
+    /** Puts a backend back. */
+    @Command(name = "restore", description = "Uses a backend again.", mixinStandardHelpOptions = true)
+    static final class Restore implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Relay relay;
+
+        @Parameters(paramLabel = "ID", description = "the backend, as discovery names it")
+        private String id;
+
+        @Override
+        public Integer call() throws MalformedException {
+            return relay.ask("RESTORE " + id);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/FiguresTest.java
@@ -0,0 +1,117 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+
+/** The figures against what the test itself has counted at both ends. */
+public class FiguresTest {
+    private World world;
+    private Service backend;
+    private Path folder;
+
+    @Before
+    public void start() throws Exception {
+        world = new World();
+        backend = world.backend();
+        folder = Files.createTempDirectory("saltstage");
+        world.environment.put("TMPDIR", folder.toString());
+        world.environment.put("GW_ADMIN", "127.0.0.1:" + world.admin);
+        world.start(World.list(1, true, World.target("s-1", backend.endpoint(), "ready")));
+    }
+
+    @After
+    public void stop() throws Exception {
+        world.close();
+        World.delete(folder);
+    }
+
+    private Map<String, Integer> figures() {
+        try {
+            Map<String, Integer> all = new HashMap<>();
+            String[] lines = world.call("METRICS").split("\n");
+            assertEquals("end", lines[lines.length - 1]);
+            for (int i = 0; i < lines.length - 1; i++) {
+                assertTrue(lines[i], lines[i].matches("app\\.[a-z_.]+:\\d+\\|[cg]"));
+                String[] parts = lines[i].split("[:|]");
+                all.put(parts[0].substring(4) + parts[2], Integer.parseInt(parts[1]));
+            }
+            return all;
+        } catch (java.io.IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    public void eachConnectionIsCountedOnceWhereItEndsUp() throws Exception {
+        assertEquals(Map.of("handled.chat.passedc", 0, "handled.chat.droppedc", 0,
+            "handled.chat.bad_gatewayc", 0, "upstream_triesc", 0, "in_progressg", 0, "known_backendsg", 1,
+            "skipped_backendsg", 0), figures());
+        Line standing = world.open("f1", 20_000);
+        Line side = world.stand(backend, standing);
+        Line waiting = world.open("f2", 20_000);
+        Line waitingSide = backend.accept();
+        waitingSide.hear();
+        assertEquals(2, (int) figures().get("in_progressg"));
+        world.client().raw("rubbish\r\n").hear(); // no class, no request: none of the three
+        Line gone = world.open("f3", 20_000);
+        Line goneSide = backend.accept();
+        goneSide.hear();
+        gone.close();
+        goneSide.hear();
+        Line early = world.open("f4", 20_000); // more than its one line, before the answer
+        Line earlySide = backend.accept();
+        earlySide.hear();
+        early.say("M 1");
+        assertTrue(early.hear().startsWith("ERR"));
+        early.close();
+        waitingSide.say("BUSY").close();
+        assertTrue(waiting.hear().startsWith("BUSY"));
+        waiting.close();
+        World.await("all but one have ended", () -> figures().get("in_progressg") == 1);
+        Map<String, Integer> now = figures();
+        assertEquals(1, (int) now.get("handled.chat.passedc"));
+        assertEquals(1, (int) now.get("handled.chat.droppedc"));
+        assertEquals(1, (int) now.get("handled.chat.bad_gatewayc"));
+        assertEquals(4, (int) now.get("upstream_triesc"));
+        World.await("it has failed and is left alone", () -> figures().get("skipped_backendsg") == 1);
+        side.say("BYE").close();
+        assertEquals("BYE", standing.hear());
+        standing.close();
+        World.await("the last has ended", () -> figures().get("in_progressg") == 0);
+        assertEquals("an end is no second outcome", 1, (int) figures().get("handled.chat.passedc"));
+    }
+
+    @Test
+    public void staffCallsFromTheCommandLine() throws Exception {
+        assertEquals("0 done ready", command("status"));
+        assertEquals("1 error never listed: nobody", command("suspend", "nobody"));
+        assertEquals("0 done suspended", command("suspend", "s-1"));
+        String json = command("metrics", "--json");
+        assertTrue(json, json.startsWith("0 {\"ok\":true,") && json.contains("\"app.skipped_backends\":1"));
+        assertEquals("0 done restored", command("restore", "s-1"));
+        world.kill();
+        assertTrue(command("status").startsWith("3 saltstage: 127.0.0.1:" + world.admin + " did not answer"));
+    }
+
+    private String command(String... words) throws Exception {
+        String[] all = new String[words.length + 3];
+        all[0] = "call";
+        System.arraycopy(words, 0, all, 1, words.length);
+        all[words.length + 1] = "--admin";
+        all[words.length + 2] = "127.0.0.1:" + world.admin;
+        Process process = World.launch(all);
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
+        return process.waitFor() + " " + said;
+    }
+}
