--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -11,7 +11,6 @@
 public final class Logic implements Api.Events {
     // The mechanism
     private static final int SLOTS = 2048; // Maglev: odd skips visit a power of two; 7 each of 300 servers
-    private static final int TOP_D = 4; // d: a node sees few connections of a server; longer would mark all
     private static final int WINDOWS = 2; // f: the running window and the one before (paper, figure 2)
     private static final int WINDOW_ARRIVALS = 16; // N: four for each place, so that places are contested
     private static final double PERCENTILE = 0.8; // p: only the worst fifth of the servers may be left
@@ -133,31 +132,6 @@
         }
     }
 
-    /** One of the f tables of a server: at most d clients with their counters. */
-    static final class Table {
-        final long[] client = new long[TOP_D];
-        final double[] count = new double[TOP_D];
-        int used;
-        int arrivals;
-
-        /** RAP: a newcomer to a full table takes the least counter's place by chance (paper, II-C). */
-        void add(long who, double weight, Random random) {
-            int least = 0;
-            for (int i = 0; i < used; i++) {
-                if (client[i] == who) {
-                    count[i] += weight;
-                    return;
-                }
-                least = count[i] < count[least] ? i : least;
-            }
-            least = used < TOP_D ? used++ : least;
-            if (random.nextDouble() < weight / (count[least] + weight)) {
-                client[least] = who;
-                count[least] += weight;
-            }
-        }
-    }
-
     // ---- events
 
     @Override
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import saltstage.Api.Health;
 import saltstage.Api.Request;
@@ -13,6 +14,8 @@
 final class State {
     /** Weight of a new sample in a running mean. */
     private static final double GAIN = 0.2;
+    /** d: a node sees few connections of a server; a longer table would mark all. */
+    private static final int MOST = 4;
 
     private State() {
     }
@@ -38,11 +41,36 @@
         }
     }
 
+    /** One of the f tables of a server: at most d clients with their counters. */
+    static final class Table {
+        final long[] client = new long[MOST];
+        final double[] count = new double[MOST];
+        int used;
+        int arrivals;
+
+        /** RAP: a newcomer to a full table takes the least counter's place by chance (paper, II-C). */
+        void add(long who, double weight, Random random) {
+            int least = 0;
+            for (int i = 0; i < used; i++) {
+                if (client[i] == who) {
+                    count[i] += weight;
+                    return;
+                }
+                least = count[i] < count[least] ? i : least;
+            }
+            least = used < MOST ? used++ : least;
+            if (random.nextDouble() < weight / (count[least] + weight)) {
+                client[least] = who;
+                count[least] += weight;
+            }
+        }
+    }
+
     /** A server as this node knows it. */
     static final class Host {
         Server server;
         final long hash;
-        final Logic.Table[] tables;
+        final Table[] tables;
         Mean setup = new Mean();
         double lowest = Double.MAX_VALUE;
         double told;
@@ -63,7 +91,7 @@
         Host(Server server, long hash, int windows) {
             this.server = server;
             this.hash = hash;
-            tables = new Logic.Table[windows];
+            tables = new Table[windows];
         }
 
         /** The load asked of it now: reports are late, and what comes from here meanwhile grows alike. */
--- a/relay/src/test/java/saltstage/MechanismTest.java
+++ b/relay/src/test/java/saltstage/MechanismTest.java
@@ -173,7 +173,7 @@
         int admitted = 0;
         Random random = new Random(1);
         for (int i = 0; i < 2000; i++) {
-            Logic.Table table = new Logic.Table();
+            State.Table table = new State.Table();
             for (long c = 0; c < 4; c++) {
                 table.add(c, 3, random);
             }
@@ -190,7 +190,7 @@
 
     @Test
     void rapCountsAKnownClientUp() {
-        Logic.Table table = new Logic.Table();
+        State.Table table = new State.Table();
         table.add(7, 1, new Random(1));
         table.add(7, 2, new Random(1));
         assertEquals(1, table.used);
