--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -77,6 +77,7 @@
     private final Map<Long, Integer> groups = new HashMap<>();
     private Map<Long, Double> remembered = Map.of();
     private double meanShare;
+    private double part; // of what a warm server of weight 1 can do, this node's: by its own load there
     private int opens;
     private int locals;
     private double refuse;
@@ -440,7 +441,7 @@
         for (int i = 0; i < width + CHAIN; i++) {
             Host h = place(c.route, i < width ? (start + i) % width : i, i < width + CHAIN / 2);
             boolean fit = h != null && usable(h, c) && now >= h.shunUntil && admits(h, c);
-            if (!fit || first != null && warmth(h) < 1) {
+            if (!fit) {
                 continue;
             }
             if (first == null) {
@@ -479,9 +480,7 @@
     /** A cold server takes the keys under a threshold that rises with what it can carry: all nodes agree. */
     private boolean admits(Host h, Call c) {
         double share = warmth(h);
-        // Crowds do not fit a cold server: those who come back after a break, and those who were turned away.
-        return share >= 1 || !c.request.again() && c.sends == 0
-            && unit(c.route ^ h.hash) < share && c.load <= budget(h, share);
+        return share >= 1 || unit(c.route ^ h.hash) < share && c.load <= budget(h, share);
     }
 
     // A node's share of what fills a warm one over the warm-up: hot groups or crowds would push it over.
@@ -490,7 +489,7 @@
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double usual = placed / Math.max(1, members.size());
+        double usual = part > 0 ? part * weight(h) : placed / Math.max(1, members.size());
         double rate = CAUTION * rules.tipMultiple() * share * usual / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
@@ -557,6 +556,14 @@
             meanShare = 2 * pairs / Math.max(1, opens * (opens - 1)); // of the group of a connection drawn
             remembered = opens > PRIOR * PRIOR ? Map.of() : remembered;
         }
+        double mine = 0;
+        double reports = 0;
+        for (Host h : members) {
+            boolean tells = reported(h) && warmth(h) >= 1 && h.placedThen > 0;
+            mine += tells ? h.placedThen : 0;
+            reports += tells ? h.asked * weight(h) : 0;
+        }
+        part = mine > 0 ? mine / reports : part;
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
