--- a/relay/src/main/java/saltstage/admin/AdminListener.java
+++ b/relay/src/main/java/saltstage/admin/AdminListener.java
@@ -104,7 +104,8 @@
     private void take(SocketChannel channel) throws IOException {
         try {
             channel.configureBlocking(false);
-            Caller caller = new Caller(channel, channel.register(selector, SelectionKey.OP_READ), this::answer);
+            SelectionKey key = channel.register(selector, SelectionKey.OP_READ);
+            Caller caller = new Caller(channel, key, this::answer);
             callers.add(caller);
             caller.ready(); // most lines are there already
             if (caller.closed()) {
--- a/relay/src/main/java/saltstage/handover/Whole.java
+++ b/relay/src/main/java/saltstage/handover/Whole.java
@@ -11,7 +11,7 @@
 import java.util.Arrays;
 import java.util.zip.CRC32C;
 
-/** A small file that is read whole or not at all: written aside, forced, renamed, with a name and a checksum. */
+/** A small file, read whole or not at all: written aside, forced, renamed, with a name and a checksum. */
 public final class Whole {
     private static final long MOST = 64 << 20;
     private static final int SUM_BYTES = 4;
--- a/relay/src/main/java/saltstage/lifecycle/Clerk.java
+++ b/relay/src/main/java/saltstage/lifecycle/Clerk.java
@@ -59,7 +59,8 @@
     private int looks;
 
     /** Slots and folder are null where no process is ever replaced by another beside it. */
-    Clerk(MonotonicClock clock, Peers peers, Chain chain, Counts counts, Bans bans, Slots slots, Path takeover) {
+    Clerk(MonotonicClock clock, Peers peers, Chain chain, Counts counts, Bans bans, Slots slots,
+            Path takeover) {
         this.clock = clock;
         this.peers = peers;
         this.chain = chain;
@@ -204,7 +205,7 @@
         }
     }
 
-    /** Clients do not stand where a backend is about to be restarted: they are moved in time, a few at once. */
+    /** Clients do not stand where a backend is about to be restarted: they are moved in time, few at once. */
     private void moveOff() {
         since.keySet().retainAll(bans.all());
         Instant now = clock.now();
--- a/relay/src/main/java/saltstage/lifecycle/ClientListener.java
+++ b/relay/src/main/java/saltstage/lifecycle/ClientListener.java
@@ -69,8 +69,8 @@
             throw new IOException("descriptor 0 is no listening socket");
         }
         ServerSocketChannel listener = (ServerSocketChannel) channel;
-        // The other process may take what woke this one: accepting must not block, or stopping would wait for
-        // the next client. The mode is the shared socket's own; a JVM that accepts there in the other one copes.
+        // The other process may take what woke this one: accepting must not block, or stopping would wait
+        // for the next client. The mode is the shared socket's own; a JVM copes that accepts in the other.
         listener.configureBlocking(false);
         Selector selector = Selector.open();
         listener.register(selector, SelectionKey.OP_ACCEPT);
--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -34,7 +34,7 @@
     private final Duration over;
     private final boolean succeeded;
 
-    /** A drain that began so late after SIGTERM, as far as can be told; succeeded: another process serves. */
+    /** A drain that began so late after SIGTERM, as far as known; succeeded: another process serves. */
     Drain(MonotonicClock clock, Chain chain, Duration longestDeadline, Duration late, boolean succeeded) {
         this.succeeded = succeeded;
         this.clock = clock;
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -126,7 +126,7 @@
         }
     }
 
-    /** So many descriptors are this process's; said at the start, and again while another takes part of them. */
+    /** So many descriptors are this process's; said again while another one takes part of them. */
     public void descriptors(int most) {
         admit.descriptors(most);
         doorway.room(Admit.doorway(most));
--- a/relay/src/main/java/saltstage/stage/Route.java
+++ b/relay/src/main/java/saltstage/stage/Route.java
@@ -99,7 +99,7 @@
         feed((logic, now) -> logic.list(now, kind, servers));
     }
 
-    /** Operators have suspended or restored a backend, if it is listed: to the module it drains, or no more. */
+    /** Operators have suspended or restored a backend: to the module it drains, or no more. */
     public void relist(Peer peer) {
         feed((logic, now) -> {
             if (!peer.ended()) { // else the module is told of its end, or has been
--- a/relay/src/test/java/saltstage/process/Platform.java
+++ b/relay/src/test/java/saltstage/process/Platform.java
@@ -13,14 +13,15 @@
 
 /**
  * The platform's part in replacing a process: holds the clients' listening socket and starts relays that
- * inherit it as descriptor 0. Java cannot hand descriptors on; the shell's neighbour that is on every Debian can.
+ * inherit it as descriptor 0. Java cannot hand descriptors on; the Perl that is on every Debian can.
  */
 final class Platform implements AutoCloseable {
     private static final String HOLDER = String.join("\n",
         "use strict; use Socket; use POSIX ':sys_wait_h'; $| = 1;",
         "socket(my $s, PF_INET, SOCK_STREAM, 0) or die; bind($s, sockaddr_in(0, INADDR_LOOPBACK)) or die;",
         "listen($s, 128) or die; print((sockaddr_in(getsockname($s)))[0], \"\\n\");",
-        "$SIG{CHLD} = sub { while ((my $p = waitpid(-1, WNOHANG)) > 0) { print \"ended $p \", $? >> 8, \"\\n\" } };",
+        "$SIG{CHLD} = sub { while ((my $p = waitpid(-1, WNOHANG)) > 0) {",
+        "print \"ended $p \", $? >> 8, \"\\n\" } };",
         "while (my $line = <STDIN>) { my $p = fork(); if (!$p) { open(STDIN, '<&', $s) or die;",
         "exec('/bin/sh', '-c', $line); } print \"started $p\\n\" }");
 
