Hand the part of the capacity on, and prove a resetting server by one trial

Ruled out: bans, lists, the door. Lines: rank (part from one second alone), heard (any UP cleared the shun).

Each test was seen to fail without its part.

--- a/relay/src/main/java/saltstage/Api.java
+++ b/relay/src/main/java/saltstage/Api.java
@@ -68,9 +68,12 @@
     public record LearntServer(String id, long startedAt, double setup, double deviation, double lowest,
             int strikes, long shunnedFor) { }
 
-    /** What a node has learnt; shares are parts of the open connections by group, the largest groups only. */
+    /**
+     * What a node has learnt; part is what it may send of what a warm server of weight 1 can do, as load; shares
+     * are parts of the open connections by group, the largest groups only.
+     */
     public record Learnt(double setup, double deviation, double load, double life, double meanShare,
-            List<LearntServer> servers, Map<Long, Double> shares) { }
+            double part, List<LearntServer> servers, Map<Long, Double> shares) { }
 
     /** The events of one node, in the order of their arrival. */
     public interface Events {
--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -23,6 +23,8 @@
     private static final int CHAIN = 12; // more places in a key's order; half near where crossings are dear
     private static final double DEAR_CROSSING = 0.05; // of a request's worth: dearer than a group's set-up
     private static final double CAUTION = 0.5; // of what rule 4 allows: the rest is for chance
+    private static final double PART_KEPT = 0.97; // a second: what machines can do changes in minutes
+    private static final double PART_TRUST = 5; // what was learnt before counts as so many seconds
     private static final int REBUILD = 4; // tables wait a part of the warm-up; who left is passed over
     // Health
     private static final long FRESH = 2_500_000; // told delays come each second
@@ -77,7 +79,8 @@
     private final Map<Long, Integer> groups = new HashMap<>();
     private Map<Long, Double> remembered = Map.of();
     private double meanShare;
-    private double part; // of what a warm server of weight 1 can do, this node's: by its own load there
+    private double partMine; // this node's load on warm servers, and what was asked of them by all: with
+    private double partAsked; // their weights, the part of what one can do that is this node's to send
     private int opens;
     private int locals;
     private double refuse;
@@ -106,7 +109,8 @@
         groups.forEach((group, open) -> shares.put(group, open / (double) Math.max(1, opens)));
         shares.values().removeIf(share -> share <= meanShare); // the others are told as well by the mean
         return new Learnt(setup.value, setup.deviation, arrival.known ? arrival.value : 0,
-            lifetime.known ? lifetime.value : 0, meanShare, servers, shares);
+            lifetime.known ? lifetime.value : 0, meanShare, partAsked > 0 ? partMine / partAsked : 0, servers,
+            shares);
     }
 
     /** The servers that have failed and are left alone for now. */
@@ -121,6 +125,8 @@
         arrival.set(known.load() > 0 ? known.load() : 1, known.load() / 2);
         arrival.known = known.load() > 0;
         meanShare = known.meanShare();
+        partAsked = known.part() > 0 ? PART_TRUST * hosts.values().stream().mapToDouble(this::weight).sum() : 0;
+        partMine = known.part() * partAsked;
         remembered = Map.copyOf(known.shares());
         for (LearntServer learnt : known.servers()) {
             Host h = hosts.get(learnt.id());
@@ -189,7 +195,7 @@
         Call c = calls.get(id);
         if (c != null) {
             c.established(at);
-            c.host.heard(latency, at);
+            c.host.heard(latency, at, EJECT);
             setup.add(latency);
             stood++;
         }
@@ -204,7 +210,11 @@
         }
         c.ended();
         asked -= outcome.neverRan() ? 1 : 0;
-        stood -= c.streaming && outcome == Outcome.RESET && at - c.since < EJECT ? 1 : 0; // it did not stand
+        if (c.streaming && outcome == Outcome.RESET && at - c.since < EJECT) { // it did not stand
+            stood--;
+            c.host.doubtful = true;
+            c.host.shunUntil = c.trial ? at : c.host.shunUntil; // it counts as the next strike
+        }
         if (outcome == Outcome.SERVED && at - c.since > EJECT) {
             c.host.strikes = 0;
         }
@@ -420,7 +430,10 @@
         met.add(h);
         asked++;
         h.budget -= warmth(h) < 1 ? c.load : 0;
-        if (h.strikes > 0) {
+        if (h.doubtful && h.open.stream().anyMatch(o -> now - o.since >= EJECT)) {
+            h.doubtful = false; // the last trial stands: it serves again
+            h.strikes = 0;
+        } else if (h.strikes > 0) {
             shun(h); // One trial at a time: nobody else goes there until this one has answered.
         }
         act.send(c.request.id(), h.server.id(), patience(c, left));
@@ -489,7 +502,7 @@
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double usual = part > 0 ? part * weight(h) : placed / Math.max(1, members.size());
+        double usual = partAsked > 0 ? partMine / partAsked * weight(h) : placed / Math.max(1, members.size());
         double rate = CAUTION * rules.tipMultiple() * share * usual / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
@@ -563,7 +576,8 @@
             mine += tells ? h.placedThen : 0;
             reports += tells ? h.asked * weight(h) : 0;
         }
-        part = mine > 0 ? mine / reports : part;
+        partMine = partMine * PART_KEPT + mine; // moments when little stands here must not say that little can
+        partAsked = partAsked * PART_KEPT + reports;
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -86,6 +86,7 @@
         long askedAt = Long.MIN_VALUE / 2;
         long probeAt = Long.MIN_VALUE / 2;
         int strikes;
+        boolean doubtful; // what it set up last did not stand
         long shunUntil = Long.MIN_VALUE / 2;
 
         Host(Server server, long hash, int windows) {
@@ -99,9 +100,9 @@
             return placedThen > 0 ? asked * Math.max(0.5, Math.min(2, placed / placedThen)) : asked;
         }
 
-        /** A set-up has succeeded here. */
-        void heard(long latency, long now) {
-            shunUntil = now;
+        /** A set-up has succeeded here; where it sets up and then resets, that alone is no proof. */
+        void heard(long latency, long now, long proof) {
+            shunUntil = doubtful ? now + proof : now;
             setup.add(latency);
             lowest = Math.min(lowest, latency);
         }
@@ -127,6 +128,7 @@
         boolean answered;
         boolean told;
         boolean moving;
+        boolean trial; // of a server whose last one did not stand
         double load;
         long since;
 
@@ -139,6 +141,7 @@
 
         void sent(Host to, long now) {
             tried.add(to);
+            trial = to.doubtful;
             host = to;
             sends++;
             out = true;
--- a/relay/src/main/java/saltstage/keep/Codec.java
+++ b/relay/src/main/java/saltstage/keep/Codec.java
@@ -20,6 +20,7 @@
 /** The bytes of what is kept, each with a version in front; one that is not known is refused, not guessed. */
 final class Codec {
     private static final int VERSION = 1;
+    private static final int LEARNT_VERSION = 2;
     private static final int MOST = 1 << 20;
 
     private Codec() {
@@ -34,9 +35,13 @@
     }
 
     private static byte[] bytes(Writing writing) {
+        return bytes(VERSION, writing);
+    }
+
+    private static byte[] bytes(int version, Writing writing) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (DataOutputStream data = new DataOutputStream(out)) {
-            data.writeByte(VERSION);
+            data.writeByte(version);
             writing.to(data);
         } catch (IOException impossible) { // it writes to memory
             throw new IllegalStateException(impossible);
@@ -45,10 +50,14 @@
     }
 
     private static <T> T read(byte[] bytes, String what, Reading<T> reading) throws IOException {
+        return read(bytes, what, VERSION, reading);
+    }
+
+    private static <T> T read(byte[] bytes, String what, int known, Reading<T> reading) throws IOException {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
             int version = in.readByte();
-            if (version != VERSION) {
-                throw new IOException(what + " of version " + version + "; " + VERSION + " is known");
+            if (version != known) {
+                throw new IOException(what + " of version " + version + "; " + known + " is known");
             }
             T read = reading.from(in);
             if (in.read() >= 0) {
@@ -98,7 +107,7 @@
     record Dated(Instant at, Learnt learnt) { }
 
     static byte[] learnt(Dated dated) {
-        return bytes(out -> {
+        return bytes(LEARNT_VERSION, out -> {
             Learnt learnt = dated.learnt();
             out.writeLong(dated.at().toEpochMilli());
             for (double figure : new double[] {learnt.setup(), learnt.deviation(), learnt.load(),
@@ -120,11 +129,13 @@
                 out.writeLong(share.getKey());
                 out.writeDouble(share.getValue());
             }
+            out.writeDouble(learnt.part());
         });
     }
 
     static Dated learnt(byte[] bytes) throws IOException {
-        return read(bytes, "learnt state", in -> {
+        boolean first = bytes.length > 0 && bytes[0] == VERSION; // without the part of the capacity
+        return read(bytes, "learnt state", first ? VERSION : LEARNT_VERSION, in -> {
             Instant at = Instant.ofEpochMilli(in.readLong());
             double[] figures = new double[5];
             for (int i = 0; i < figures.length; i++) {
@@ -139,7 +150,8 @@
             for (int n = count(in); n > 0; n--) {
                 shares.put(in.readLong(), figure(in));
             }
-            return new Dated(at, new Learnt(figures[0], figures[1], figures[2], figures[3], figures[4],
+            double part = first ? 0 : figure(in);
+            return new Dated(at, new Learnt(figures[0], figures[1], figures[2], figures[3], figures[4], part,
                 servers, shares));
         });
     }
--- a/relay/src/main/java/saltstage/keep/Keeper.java
+++ b/relay/src/main/java/saltstage/keep/Keeper.java
@@ -131,7 +131,7 @@
             s.startedAt(), s.setup(), s.deviation(), s.lowest(), s.strikes(),
             Math.max(0, s.shunnedFor() - micros))).toList();
         return new Learnt(learnt.setup(), learnt.deviation(), learnt.load(), learnt.life(),
-            learnt.meanShare(), servers, new TreeMap<>(learnt.shares()));
+            learnt.meanShare(), learnt.part(), servers, new TreeMap<>(learnt.shares()));
     }
 
     private interface Reading<T> {
--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -92,4 +92,19 @@
         told.node.probed(told.now, "s0", Outcome.SERVED, 0.002); // these ten are a 500th of what it can do
         assertEquals(13, sentToCold(told, 100, false, Rig.SECOND / 2), 7);
     }
+
+    @Test
+    void partOfTheCapacityIsHandedToTheNextProcessAndOutlastsAMomentWithLittle() {
+        Rig old = rig(10);
+        for (int i = 0; i < 40; i++) {
+            old.node.timer(old.now, "probe");
+        }
+        old.node.probed(old.now, "s0", Outcome.SERVED, 0.002);
+        old.now += 2 * Rig.SECOND;
+        old.route(0, 1, 1, 1); // ranks
+        Rig fresh = rig(10);
+        fresh.node.learn(fresh.now, old.node.learnt(old.now));
+        fresh.node.probed(fresh.now, "s0", Outcome.SERVED, 0.3); // the old process's connections, not its own
+        assertEquals(13, sentToCold(fresh, 100, false, Rig.SECOND / 2), 7);
+    }
 }
--- a/relay/src/test/java/saltstage/FailureTest.java
+++ b/relay/src/test/java/saltstage/FailureTest.java
@@ -45,6 +45,23 @@
         assertEquals(home, rig.route(0, 4, 5, Api.NONE));
     }
 
+    @Test
+    void serverThatResetWhatItHadSetUpIsProvenByOneThatStands() {
+        Rig rig = rig();
+        long id = rig.request(0, 1, 5, Api.NONE);
+        String home = rig.sentTo.get(id);
+        rig.streams(id, 10_000);
+        rig.node.outcome(rig.now, id, Outcome.RESET, true);
+        rig.now += 2_100_000;
+        long trial = rig.request(0, 2, 5, Api.NONE);
+        assertEquals(home, rig.sentTo.get(trial));
+        rig.streams(trial, 10_000);
+        assertNotEquals(home, rig.route(0, 3, 5, Api.NONE), "that it was set up proves nothing");
+        rig.now += 2_100_000;
+        assertEquals(home, rig.route(0, 4, 5, Api.NONE), "that it stands does");
+        assertEquals(home, rig.route(0, 6, 5, Api.NONE), "for all");
+    }
+
     @Test
     void serverThatSetsUpAndThenResetsIsLeftEverLonger() {
         Rig rig = rig();
--- a/relay/src/test/java/saltstage/keep/KeeperTest.java
+++ b/relay/src/test/java/saltstage/keep/KeeperTest.java
@@ -32,7 +32,7 @@
     }
 
     private static Learnt learnt(int setup) {
-        return new Learnt(setup, 2, 3, 4, 0.5, List.of(new LearntServer("s1", 7, 100, 10, 90, 2, 5_000_000)),
+        return new Learnt(setup, 2, 3, 4, 0.5, 6, List.of(new LearntServer("s1", 7, 100, 10, 90, 2, 5_000_000)),
             Map.of(9L, 0.75));
     }
 
@@ -70,13 +70,14 @@
         Keeper later = open(NOON.plusSeconds(2));
         Learnt back = later.keptLearnt().orElseThrow();
         assertEquals(11, back.setup());
+        assertEquals(6, back.part());
         assertEquals(Map.of(9L, 0.75), back.shares());
         assertEquals(3_000_000, back.servers().get(0).shunnedFor());
         later.start(() -> back);
         later.close(Duration.ofSeconds(30));
         Keeper tooLate = open(NOON.plusSeconds(2).plus(SETTINGS.learntFor()).plusMillis(1));
         assertTrue(tooLate.keptLearnt().isEmpty());
-        tooLate.start(() -> new Learnt(0, 0, 0, 0, 0, List.of(), Map.of()));
+        tooLate.start(() -> new Learnt(0, 0, 0, 0, 0, 0, List.of(), Map.of()));
         tooLate.close(Duration.ofSeconds(30));
         assertTrue(open(NOON.minusSeconds(60)).keptLearnt().isEmpty());
     }
@@ -127,14 +128,17 @@
     }
 
     @Test
-    void bytesOfAnotherVersionAreRefusedAndNotGuessed() {
+    void bytesOfAnotherVersionAreRefusedAndNotGuessed() throws IOException {
         byte[] bytes = Codec.learnt(new Codec.Dated(NOON, learnt(1)));
         for (int length = 0; length < bytes.length; length++) {
             byte[] cut = java.util.Arrays.copyOf(bytes, length);
             assertThrows(IOException.class, () -> Codec.learnt(cut));
         }
-        bytes[0] = 2;
-        assertEquals("learnt state of version 2; 1 is known",
+        byte[] first = java.util.Arrays.copyOf(bytes, bytes.length - Double.BYTES);
+        first[0] = 1;
+        assertEquals(0, Codec.learnt(first).learnt().part(), "the first version is known too");
+        bytes[0] = 3;
+        assertEquals("learnt state of version 3; 2 is known",
             assertThrows(IOException.class, () -> Codec.learnt(bytes)).getMessage());
     }
 }
