--- a/relay/src/main/java/saltstage/Api.java
+++ b/relay/src/main/java/saltstage/Api.java
@@ -69,8 +69,8 @@
             int strikes, long shunnedFor) { }
 
     /**
-     * What a node has learnt; part is what it may send of what a warm server of weight 1 can do, as load; shares
-     * are parts of the open connections by group, the largest groups only.
+     * What a node has learnt; part is what it may send of what a warm server of weight 1 can do, as load;
+     * shares are parts of the open connections by group, the largest groups only.
      */
     public record Learnt(double setup, double deviation, double load, double life, double meanShare,
             double part, List<LearntServer> servers, Map<Long, Double> shares) { }
--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -125,7 +125,8 @@
         arrival.set(known.load() > 0 ? known.load() : 1, known.load() / 2);
         arrival.known = known.load() > 0;
         meanShare = known.meanShare();
-        partAsked = known.part() > 0 ? PART_TRUST * hosts.values().stream().mapToDouble(this::weight).sum() : 0;
+        double weights = hosts.values().stream().mapToDouble(this::weight).sum();
+        partAsked = known.part() > 0 ? PART_TRUST * weights : 0;
         partMine = known.part() * partAsked;
         remembered = Map.copyOf(known.shares());
         for (LearntServer learnt : known.servers()) {
@@ -502,7 +503,8 @@
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double usual = partAsked > 0 ? partMine / partAsked * weight(h) : placed / Math.max(1, members.size());
+        double mean = placed / Math.max(1, members.size());
+        double usual = partAsked > 0 ? partMine / partAsked * weight(h) : mean;
         double rate = CAUTION * rules.tipMultiple() * share * usual / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
@@ -576,7 +578,7 @@
             mine += tells ? h.placedThen : 0;
             reports += tells ? h.asked * weight(h) : 0;
         }
-        partMine = partMine * PART_KEPT + mine; // moments when little stands here must not say that little can
+        partMine = partMine * PART_KEPT + mine; // when little stands for a moment, no less can stand
         partAsked = partAsked * PART_KEPT + reports;
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
--- a/relay/src/test/java/saltstage/keep/KeeperTest.java
+++ b/relay/src/test/java/saltstage/keep/KeeperTest.java
@@ -32,8 +32,8 @@
     }
 
     private static Learnt learnt(int setup) {
-        return new Learnt(setup, 2, 3, 4, 0.5, 6, List.of(new LearntServer("s1", 7, 100, 10, 90, 2, 5_000_000)),
-            Map.of(9L, 0.75));
+        return new Learnt(setup, 2, 3, 4, 0.5, 6,
+            List.of(new LearntServer("s1", 7, 100, 10, 90, 2, 5_000_000)), Map.of(9L, 0.75));
     }
 
     private static HostList list(long rev, String... uids) {
