Refused clients go to cold backends with room; busy places are passed over

Seen: cold backends with one connection beside hundreds of refusals; 27 of 35 sends of a second to one that reset all; moved clients jamming whichever backend their keys named next. Lines: advance, choose.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -406,7 +406,7 @@
         // When set-ups fail wherever they go (a shared store, resets), only twice as many as lately stood.
         boolean no = random.nextDouble() * asked < asked - THROTTLE * stood - THROTTLE_RESERVE;
         // A jammed fleet serves nobody: the least worth is turned away early, by all nodes alike.
-        no |= c.sends == 0 && rankOf(c) < refuse && !c.request.midFlow();
+        boolean least = c.sends == 0 && rankOf(c) < refuse && !c.request.midFlow();
         if (no || left <= set.tick() && c.sends > 0 || c.sends >= set.maxAttempts() || !mayRepeat(c)) {
             finish(c);
             return;
@@ -414,7 +414,7 @@
         if (stale && (now - rebuilt >= rules.cold() / REBUILD || home.length == 0)) {
             rebuild();
         }
-        Host h = choose(c);
+        Host h = least ? spare(c, true) : choose(c);
         if (h != null) {
             send(c, h, left);
         } else if (c.firstRisk == Api.NONE && hosts.values().stream().noneMatch(Host::ready)) {
@@ -450,6 +450,7 @@
     /** The default or its stand-in in the key's fixed order; a heavy client may leave it. */
     private Host choose(Call c) {
         Host first = null;
+        Host best = null;
         int width = width(c);
         int start = random.nextInt(width);
         for (int i = 0; i < width + CHAIN; i++) {
@@ -466,14 +467,20 @@
                     return other;
                 }
             }
-            if (c.request.midFlow() || !jammed(h)) {
+            if (c.request.midFlow() || !jammed(h) && (!reported(h) || h.asked() <= BUSY)) {
                 return h;
             }
+            best = !jammed(h) && (best == null || h.asked() < best.asked()) ? h : best;
         }
-        if (first != null) {
-            return null; // All places are jammed: one more would be served nothing and slow the rest.
-        }
-        return hosts.values().stream().filter(h -> usable(h, c) && admits(h, c))
+        // The least busy one; where all are jammed one more would be served nothing and slow the rest.
+        return best != null ? best : spare(c, first != null);
+    }
+
+    /** Where no place of the key takes it: a cold server that has room, else any but one that resets all. */
+    private Host spare(Call c, boolean coldOnly) {
+        return hosts.values().stream().filter(h -> usable(h, c) && (warmth(h) < 1
+            ? now >= h.shunUntil && c.load <= budget(h, warmth(h))
+            : !coldOnly && (!h.doubtful || now >= h.shunUntil)))
             .min(Comparator.comparingLong(h -> h.shunUntil)).orElse(null);
     }
 
