--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -510,8 +510,9 @@
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double mean = placed / Math.max(1, members.size());
-        double usual = partAsked > 0 ? partMine / partAsked * weight(h) : mean;
+        double quota = set.tenantQuotas().stream().mapToLong(q -> q).sum() * arrival.value / set.fleetSize();
+        double mean = Math.max(partAsked > 0 ? 0 : placed, CAUTION * quota) / Math.max(1, members.size());
+        double usual = Math.max(partAsked > 0 ? partMine / partAsked * weight(h) : 0, mean);
         double rate = CAUTION * rules.tipMultiple() * share * usual / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -10,6 +10,7 @@
 import saltstage.Api.Rules;
 import saltstage.Api.Server;
 import saltstage.Api.Settings;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Rule 4: s1 has just started and warms up over 1,000 s; s0 is warm and holds 4,000 connections. */
@@ -19,9 +20,13 @@
     }
 
     private static Rig rig(int connections) {
+        return rig(connections, 100);
+    }
+
+    private static Rig rig(int connections, long quota) {
         Settings s = Rig.settings(0.02, false, Rig.safe());
         Rules slow = new Rules(Rig.SECOND, 0.25, 1_000 * Rig.SECOND, 2.5, 2 * Rig.SECOND, 10 * Rig.SECOND);
-        Rig rig = new Rig(new Settings(s.fleetSize(), s.zone(), s.classes(), s.tenantQuotas(),
+        Rig rig = new Rig(new Settings(s.fleetSize(), s.zone(), s.classes(), List.of(quota, quota),
             s.overShareWorth(), s.maxAttempts(), s.connectTimeout(), false, true, 0.02, 0, 5000, false,
             slow), 1);
         rig.list(Listing.ALL, Rig.server("s0", 0), new Server("s1", 1, 1, Health.READY, 1, rig.now));
@@ -85,6 +90,12 @@
         return rig.sentTo.values().stream().filter("s1"::equals).count() - before;
     }
 
+    @Test
+    void relayThatHasSeenNothingCountsOnHalfItsEvenPartOfTheTenantsShares() {
+        assertEquals(0, sentToCold(rig(0), 100, false, Rig.SECOND / 2), 1);
+        assertEquals(13, sentToCold(rig(0, 200_000), 100, false, Rig.SECOND / 2), 7);
+    }
+
     @Test
     void budgetIsAPartOfWhatAWarmServerIsSeenToDo() {
         Rig few = rig(10);
