What a node that just started places counts before the next report comes

Line: Host.asked grows with the ratio of what was placed, and nothing stood before.

Change: the larger of that and what was placed since over what the server can do.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -24,7 +24,7 @@
     private static final double DEAR_CROSSING = 0.05; // of a request's worth: dearer than a group's set-up
     private static final double CAUTION = 0.5; // of what rule 4 allows: the rest is for chance
     private static final double PART_KEPT = 0.97; // a second: what machines can do changes in minutes
-    private static final double PART_TRUST = 5; // what was learnt before counts as so many seconds
+    private static final double TRUST = 5; // what was learnt before counts as so many seconds
     private static final int REBUILD = 4; // tables wait a part of the warm-up; who left is passed over
     // Health
     private static final long FRESH = 2_500_000; // told delays come each second
@@ -125,8 +125,7 @@
         arrival.set(known.load() > 0 ? known.load() : 1, known.load() / 2);
         arrival.known = known.load() > 0;
         meanShare = known.meanShare();
-        double weights = hosts.values().stream().mapToDouble(this::weight).sum();
-        partAsked = known.part() > 0 ? PART_TRUST * weights : 0;
+        partAsked = known.part() > 0 ? TRUST * hosts.values().stream().mapToDouble(this::weight).sum() : 0;
         partMine = known.part() * partAsked;
         remembered = Map.copyOf(known.shares());
         for (LearntServer learnt : known.servers()) {
@@ -479,7 +478,7 @@
     /** Where no place of the key takes it: a cold server that has room, else any but one that resets all. */
     private Host spare(Call c, boolean coldOnly) {
         return hosts.values().stream().filter(h -> usable(h, c) && (warmth(h) < 1
-            ? now >= h.shunUntil && c.load <= budget(h, warmth(h))
+            ? now >= h.shunUntil && c.load <= budget(h)
             : !coldOnly && (!h.doubtful || now >= h.shunUntil)))
             .min(Comparator.comparingLong(h -> h.shunUntil)).orElse(null);
     }
@@ -500,25 +499,28 @@
 
     /** A cold server takes the keys under a threshold that rises with what it can carry: all nodes agree. */
     private boolean admits(Host h, Call c) {
-        double share = warmth(h);
-        return share >= 1 || unit(c.route ^ h.hash) < share && c.load <= budget(h, share);
+        return warmth(h) >= 1 || unit(c.route ^ h.hash) < warmth(h) && c.load <= budget(h);
     }
 
     // A node's share of what fills a warm one over the warm-up: hot groups or crowds would push it over.
-    private double budget(Host h, double share) {
+    private double budget(Host h) {
         if (h.budgetAt == 0) { // Nodes start anywhere within one connection: few spend at the same time.
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double quota = set.tenantQuotas().stream().mapToLong(q -> q).sum() * arrival.value / set.fleetSize();
-        double mean = Math.max(partAsked > 0 ? 0 : placed, CAUTION * quota) / Math.max(1, members.size());
-        double usual = Math.max(partAsked > 0 ? partMine / partAsked * weight(h) : 0, mean);
-        double rate = CAUTION * rules.tipMultiple() * share * usual / rules.cold();
+        double rate = CAUTION * rules.tipMultiple() * warmth(h) * part(h) / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
         return h.budget;
     }
 
+    /** This node's part of what a warm server can do: as reports tell, or half its even part of shares. */
+    private double part(Host h) {
+        double quota = set.tenantQuotas().stream().mapToLong(q -> q).sum() * arrival.value / set.fleetSize();
+        double mean = Math.max(partAsked > 0 ? 0 : placed, CAUTION * quota) / Math.max(1, members.size());
+        return Math.max(partAsked > 0 ? partMine / partAsked * weight(h) : 0, mean);
+    }
+
     private double warmth(Host h) {
         double age = Math.max(0, now - h.server.startedAt()) / Math.max(1.0, rules.cold());
         return h.server.startedAt() == 0 || age >= 1 ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age;
@@ -579,15 +581,14 @@
             meanShare = 2 * pairs / Math.max(1, opens * (opens - 1)); // of the group of a connection drawn
             remembered = opens > PRIOR * PRIOR ? Map.of() : remembered;
         }
-        double mine = 0;
-        double reports = 0;
+        partMine *= PART_KEPT;
+        partAsked *= PART_KEPT;
         for (Host h : members) {
-            boolean tells = reported(h) && warmth(h) >= 1 && h.placedThen > 0;
-            mine += tells ? h.placedThen : 0;
-            reports += tells ? h.asked * weight(h) : 0;
+            double told = reported(h) && warmth(h) >= 1 && h.placedThen > 0 ? 1 : 0;
+            partMine += told * h.placedThen;
+            partAsked += told * h.asked * weight(h);
+            h.can = part(h) * set.fleetSize();
         }
-        partMine = partMine * PART_KEPT + mine; // when little stands for a moment, no less can stand
-        partAsked = partAsked * PART_KEPT + reports;
         meanW = n == 0 ? 0 : sum / n;
         Arrays.fill(all, n, all.length, meanW);
         Arrays.sort(all);
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -83,6 +83,7 @@
         double asked; // of what it can do, as last probed
         double placedThen;
         double placedLately; // as it was about when the next report is taken
+        double can; // about, in units of load; 0 where nothing tells
         long askedAt = Long.MIN_VALUE / 2;
         long probeAt = Long.MIN_VALUE / 2;
         int strikes;
@@ -97,7 +98,9 @@
 
         /** The load asked of it now: reports are late, and what comes from here meanwhile grows alike. */
         double asked() {
-            return placedThen > 0 ? asked * Math.max(0.5, Math.min(2, placed / placedThen)) : asked;
+            double alike = placedThen > 0 ? asked * Math.max(0.5, Math.min(2, placed / placedThen)) : asked;
+            // Where little stood here the ratio tells nothing: a node that just started would feed one server.
+            return can > 0 && placed > placedThen ? Math.max(alike, asked + (placed - placedThen) / can) : alike;
         }
 
         /** A set-up has succeeded here; where it sets up and then resets, that alone is no proof. */
