--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -517,7 +517,7 @@
     /** This node's part of what a warm server can do: as reports tell, or half its even part of shares. */
     private double part(Host h) {
         double quota = set.tenantQuotas().stream().mapToLong(q -> q).sum() * arrival.value / set.fleetSize();
-        double mean = Math.max(partAsked > 0 ? 0 : placed, CAUTION * quota) / Math.max(1, members.size());
+        double mean = Math.max(partAsked > 0 ? 0 : placed, CAUTION * quota) / Math.max(1, hosts.size());
         return Math.max(partAsked > 0 ? partMine / partAsked * weight(h) : 0, mean);
     }
 
@@ -583,8 +583,8 @@
         }
         partMine *= PART_KEPT;
         partAsked *= PART_KEPT;
-        for (Host h : members) {
-            double told = reported(h) && warmth(h) >= 1 && h.placedThen > 0 ? 1 : 0;
+        for (Host h : hosts.values()) { // also at the first request, before the tables are built
+            double told = h.ready() && reported(h) && warmth(h) >= 1 && h.placedThen > 0 ? 1 : 0;
             partMine += told * h.placedThen;
             partAsked += told * h.asked * weight(h);
             h.can = part(h) * set.fleetSize();
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -99,8 +99,9 @@
         /** The load asked of it now: reports are late, and what comes from here meanwhile grows alike. */
         double asked() {
             double alike = placedThen > 0 ? asked * Math.max(0.5, Math.min(2, placed / placedThen)) : asked;
-            // Where little stood here the ratio tells nothing: a node that just started would feed one server.
-            return can > 0 && placed > placedThen ? Math.max(alike, asked + (placed - placedThen) / can) : alike;
+            // Where little stood here the ratio tells nothing: a node that just started would feed one.
+            double more = placed - placedThen;
+            return can > 0 && more > 0 ? Math.max(alike, asked + more / can) : alike;
         }
 
         /** A set-up has succeeded here; where it sets up and then resets, that alone is no proof. */
