UpgradeTest: fail where the old process goes on accepting

Cause: five guards were taken out one at a time. Eviction of silent callers, moving clients off, holding a backend out and ending a ban each made their test fail; 'stop accepting at SIGTERM' did not: the old process served newcomers and moved them.

Change: newcomers after drain.start must not show up in the old process's log.

--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -1,6 +1,7 @@
 package saltstage.process;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
@@ -68,6 +69,14 @@
         }
     }
 
+    private static boolean said(Relay relay, String part) {
+        try {
+            return Files.readString(relay.log()).contains(part);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     public void nobodyIsLostAtTheDoorAndWhoStandsIsMovedToTheNewProcess() throws Exception {
         Relay old = serving("old");
@@ -80,6 +89,7 @@
         Thread.sleep(100);
         Relay next = serving("next");
         Platform.signal(old.pid(), "TERM");
+        World.await("the old process has stopped accepting", () -> said(old, "drain.start"));
         List<Line> others = new ArrayList<>();
         for (int i = 0; i < 20; i++) { // newcomers in the middle of it, each served
             Line newcomer = world.open("n" + i, 20_000);
@@ -99,7 +109,8 @@
         assertEquals(0, (int) platform.ended.get(old.pid()));
         world.stand(backend, world.open("u9", 20_000));
         assertTrue(ready(next));
-        assertTrue(Files.readString(old.log()).contains("succeeded=true"));
+        assertTrue(said(old, "succeeded=true"));
+        assertFalse("newcomers are the new process's, not taken and moved", said(old, " id=n"));
     }
 
     @Test
