Cold servers take clients past a relay's budget while a fresh report shows room

Each relay's budget for a cold server grows from its own small part of the fleet, so the servers stood empty while warm ones jammed. ColdTest fails without it (0 of 200 taken).

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -502,7 +502,7 @@
         return warmth(h) >= 1 || unit(c.route ^ h.hash) < warmth(h) && c.load <= budget(h);
     }
 
-    // A node's share of what fills a warm one over the warm-up: hot groups or crowds would push it over.
+    // A node's share of what fills a warm one over the warm-up, unless it is told to stand nearly empty.
     private double budget(Host h) {
         if (h.budgetAt == 0) { // Nodes start anywhere within one connection: few spend at the same time.
             h.budget = random.nextDouble() * arrival.value;
@@ -511,7 +511,7 @@
         double rate = CAUTION * rules.tipMultiple() * warmth(h) * part(h) / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
-        return h.budget;
+        return reported(h) && h.asked() < CAUTION * warmth(h) ? Double.MAX_VALUE : h.budget;
     }
 
     /** This node's part of what a warm server can do: as reports tell, or half its even part of shares. */
--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -67,6 +67,17 @@
         assertTrue(sentToCold(rig(), false, 1_000) <= 2);
     }
 
+    @Test
+    void freshReportOfRoomOutweighsTheBudget() {
+        Rig empty = rig();
+        empty.node.probed(empty.now, "s1", Outcome.SERVED, 0.01);
+        long taken = sentToCold(empty, 200, false, 1_000);
+        assertTrue(taken > 10, "a burst goes to a cold server that reports itself nearly empty: " + taken);
+        Rig busy = rig();
+        busy.node.probed(busy.now, "s1", Outcome.SERVED, 0.3);
+        assertTrue(sentToCold(busy, 200, false, 1_000) <= 2, "not to one that has more than its part asked");
+    }
+
     @Test
     void returningClientsGoThereInTheSameBudget() {
         assertEquals(40, sentToCold(rig(), true, 2 * Rig.SECOND), 15);
