--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -42,7 +42,6 @@
         start = clock.now().minus(late);
         Duration most = longestDeadline.compareTo(MOST_DEADLINE) < 0 ? longestDeadline : MOST_DEADLINE;
         Duration last = notNegative(most.minus(LATE));
-    /** A drain that began so late after SIGTERM, as far as known; succeeded: another one serves. */
         movesFrom = succeeded ? Duration.ZERO : notNegative(last.minus(MOVES));
         movesUntil = succeeded && MOVES.compareTo(last) < 0 ? MOVES : last;
         over = last.plus(AFTER_MOVES);
