--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -72,11 +72,11 @@
         long blind = sentToCold(rig(16_000), false, 19_000); // 3.8 s: a report counts for four
         assertEquals(6, blind, 2);
         long told = sentToCold(reporting(0.01), false, 19_000);
-        assertTrue(told >= blind * 3 / 2 && told <= 2 * blind + 1, told + " where it tells room, else " + blind);
+        assertTrue(told >= blind * 3 / 2 && told <= 2 * blind + 1, told + " with room, else " + blind);
         long busy = sentToCold(reporting(0.3), false, 19_000);
         assertTrue(busy <= blind, busy + " where it has more than its part asked, else " + blind);
         // All relays read the same report at once: none may take it for leave to send all it has.
-        assertTrue(sentToCold(reporting(0.01), false, 1_000) <= 2, "a burst is held to the budget all the same");
+        assertTrue(sentToCold(reporting(0.01), false, 1_000) <= 2, "a burst is held to the budget");
     }
 
     private static Rig reporting(double asked) {
