Cold servers are filled by each relay's share of the room they report

Change: the budget binds unless the reported load and this node's placements since, counted as every relay's, leave room; cold servers are asked each second. Tests: ColdTest fails without the count, without the room, without the asking.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -310,7 +310,8 @@
     }
 
     private void probe(Host h) {
-        h.probeAt = now + (jammed(h) || reported(h) && h.asked() > BUSY ? PROBE_BUSY : PROBE_CALM);
+        boolean watched = jammed(h) || warmth(h) < 1 || reported(h) && h.asked() > BUSY;
+        h.probeAt = now + (watched ? PROBE_BUSY : PROBE_CALM);
         act.probe(h.server.id());
     }
 
@@ -502,17 +503,17 @@
         return warmth(h) >= 1 || unit(c.route ^ h.hash) < warmth(h) && c.load <= budget(h);
     }
 
-    // A node's share of what fills a warm one over the warm-up; twice that where it is told to stand empty.
+    // A node's share of what fills a warm one over the warm-up, or of the room that it is told to have.
     private double budget(Host h) {
         if (h.budgetAt == 0) { // Nodes start anywhere within one connection: few spend at the same time.
             h.budget = random.nextDouble() * arrival.value;
             h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
         }
-        double care = reported(h) && h.asked() < CAUTION * warmth(h) ? 2 * CAUTION : CAUTION;
-        double rate = care * rules.tipMultiple() * warmth(h) * part(h) / rules.cold();
+        double rate = CAUTION * rules.tipMultiple() * warmth(h) * part(h) / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
-        return h.budget;
+        double alike = h.asked + CAUTION * (h.placed - h.placedThen) / part(h); // all relays read that report
+        return reported(h) && alike < EASED * warmth(h) ? Double.MAX_VALUE : h.budget;
     }
 
     /** This node's part of what a warm server can do: as reports tell, or half its even part of shares. */
@@ -669,7 +670,6 @@
         double aim = c.service.aim();
         boolean last = c.sends >= set.maxAttempts() || left <= 2 * aim / 3;
         last |= c.service.effect() == Effect.UNSAFE; // an early time-out would only end it
-        // Where set-ups wait wherever they go, each that is given up makes the queue longer for all relays.
         last |= asked > THROTTLE * stood + THROTTLE_RESERVE;
         return last ? 0 : (long) Math.min(left, aim * c.sends);
     }
