--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/client/package-info.java
@@ -0,0 +1,2 @@
+/** For programs that use a group: sessions, and leases that stop in time. */
+package saltstage.coordinator.client;
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Group.java
@@ -0,0 +1,91 @@
+package saltstage.coordinator.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.TypeConversionException;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.settings.CoordinatorSettings;
+import saltstage.wire.MalformedException;
+
+/** Which group a command is for, and how it shows what it got. */
+final class Group {
+    @Option(names = "--settings", paramLabel = "FILE", description = "the group's settings (HCL)")
+    private Path settings;
+
+    @Option(names = "--at", split = ",", paramLabel = "HOST:PORT",
+        description = "where replicas take calls, in place of the settings")
+    private List<String> at;
+
+    @Option(names = "--json", description = "print JSON")
+    private boolean json;
+
+    @Option(names = "--within", paramLabel = "SPAN", converter = Span.class, defaultValue = "5s",
+        description = "how long to try (default: ${DEFAULT-VALUE})")
+    private Duration within;
+
+    /** A span such as 250ms, 10s or 5m. */
+    static final class Span implements ITypeConverter<Duration> {
+        private static final Pattern FORM = Pattern.compile("(\\d{1,9})(ms|s|m|h)");
+
+        @Override
+        public Duration convert(String text) {
+            Matcher parts = FORM.matcher(text);
+            if (!parts.matches()) {
+                throw new TypeConversionException("'" + text + "' is no span such as 250ms, 10s or 5m");
+            }
+            long n = Long.parseLong(parts.group(1));
+            return switch (parts.group(2)) {
+                case "ms" -> Duration.ofMillis(n);
+                case "s" -> Duration.ofSeconds(n);
+                case "m" -> Duration.ofMinutes(n);
+                default -> Duration.ofHours(n);
+            };
+        }
+    }
+
+    List<String> places() throws MalformedException {
+        if (at != null) {
+            return at;
+        }
+        if (settings == null) {
+            throw new MalformedException("name the group by --settings FILE or --at HOST:PORT");
+        }
+        return CoordinatorSettings.read(settings).members().values().stream()
+            .map(place -> place.clients().getHostString() + ":" + place.clients().getPort()).toList();
+    }
+
+    GroupClient client() throws MalformedException {
+        return new GroupClient(places(), Ticker.SYSTEM);
+    }
+
+    Duration within() {
+        return within;
+    }
+
+    boolean json() {
+        return json;
+    }
+
+    /** Prints a value: as JSON, or as a line of text. */
+    void print(Object value, String text) throws JsonProcessingException {
+        System.out.println(json ? Codec.json().writeValueAsString(value) : text);
+        System.out.flush();
+    }
+
+    static Map<String, Object> pairs(Object... nameAndValue) {
+        Map<String, Object> map = new java.util.LinkedHashMap<>();
+        for (int i = 0; i < nameAndValue.length; i += 2) {
+            map.put((String) nameAndValue[i], nameAndValue[i + 1]);
+        }
+        return map;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package saltstage.coordinator.command;
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/front/Front.java
@@ -0,0 +1,238 @@
+package saltstage.coordinator.front;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.microraft.exception.CannotReplicateException;
+import io.microraft.exception.NotLeaderException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.lease.LeaseCommands;
+import saltstage.coordinator.lease.LeaseReplies;
+import saltstage.coordinator.lease.Leases;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Reply;
+import saltstage.coordinator.replica.Replica;
+
+/**
+ * What clients can ask of a replica, without the sockets: a request's method, path and body in, an answer
+ * out, sooner or later. Whatever is malformed gets one clear error and changes nothing.
+ */
+public final class Front {
+    /** So many calls may be under way in all; the next are turned away at once. */
+    static final int MOST_CALLS = 20_000;
+    private static final long MOST_WAIT_MS = 2_000;
+    private static final long ANSWER_MS = 5_000;
+    private static final int BUSY_MS = 200;
+    private static final int MOST_ROWS = 10_000;
+
+    /** An answer: HTTP's status and a value that becomes JSON, or bytes as they are. */
+    record Answer(int status, Object body) {
+    }
+
+    /** An error as clients see it. */
+    record Fault(String error, long retryMs, String leader) {
+    }
+
+    private static final class BadRequest extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        BadRequest(String why) {
+            super(why, null, false, false);
+        }
+    }
+
+    private final Replica replica;
+    private final AtomicInteger calls = new AtomicInteger();
+
+    /** A front of this replica. */
+    public Front(Replica replica) {
+        this.replica = replica;
+    }
+
+    /** Answers one request. */
+    CompletableFuture<Answer> ask(FullHttpRequest request) {
+        if (calls.incrementAndGet() > MOST_CALLS) {
+            calls.decrementAndGet();
+            return CompletableFuture.completedFuture(
+                new Answer(503, new Fault("busy: too many calls", BUSY_MS, null)));
+        }
+        CompletableFuture<Answer> answer;
+        try {
+            answer = request.decoderResult().isSuccess() ? route(request)
+                : CompletableFuture.failedFuture(new BadRequest("not HTTP"));
+        } catch (BadRequest bad) {
+            answer = CompletableFuture.failedFuture(bad);
+        }
+        return answer.exceptionally(this::fault).completeOnTimeout(new Answer(503,
+            new Fault("open: no majority has answered", BUSY_MS, null)), ANSWER_MS, TimeUnit.MILLISECONDS)
+            .whenComplete((any, thrown) -> calls.decrementAndGet());
+    }
+
+    private Answer fault(Throwable thrown) {
+        Throwable why = thrown instanceof CompletionException && thrown.getCause() != null
+            ? thrown.getCause() : thrown;
+        if (why instanceof BadRequest || why instanceof IllegalArgumentException) {
+            return new Answer(400, new Fault(why.getMessage(), 0, null));
+        }
+        if (why instanceof NotLeaderException) {
+            return new Answer(421, new Fault("another replica leads", BUSY_MS, replica.leaderClients()));
+        }
+        if (why instanceof CannotReplicateException) {
+            return new Answer(503, new Fault("busy: too much waits for a majority", BUSY_MS, null));
+        }
+        return new Answer(503, new Fault("open: " + why.getClass().getSimpleName(), BUSY_MS, null));
+    }
+
+    private CompletableFuture<Answer> route(FullHttpRequest request) {
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        boolean post = request.method().equals(HttpMethod.POST);
+        if (!post && !request.method().equals(HttpMethod.GET)) {
+            throw new BadRequest("GET and POST are taken");
+        }
+        String call = (post ? "POST " : "GET ") + uri.path();
+        return switch (call) {
+            case "POST /v1/do" -> command(body(request));
+            case "GET /v1/leases" -> leases(uri.parameters());
+            case "GET /v1/lease" -> lease(uri.parameters());
+            case "GET /v1/status" -> replica.status().thenApply(status -> new Answer(200, status));
+            case "POST /v1/join" -> join(body(request));
+            case "POST /v1/leave" -> replica.leave(text(body(request), "name"))
+                .thenApply(state -> new Answer(200, Map.of("state", state)));
+            case "POST /v1/transfer" -> replica.transfer(text(body(request), "to"))
+                .thenApply(done -> new Answer(200, Map.of("state", "handed-over")));
+            case "GET /v1/backup" -> replica.read(GroupState::image, false)
+                .thenApply(image -> new Answer(200, Codec.snapshot(image)));
+            default -> CompletableFuture.completedFuture(
+                new Answer(404, new Fault("no such call: " + call, 0, null)));
+        };
+    }
+
+    // ---- reading requests
+
+    private static JsonNode body(FullHttpRequest request) {
+        try {
+            JsonNode read = Codec.json().readTree(request.content().toString(StandardCharsets.UTF_8));
+            if (read == null || !read.isObject()) {
+                throw new BadRequest("the body is no JSON object");
+            }
+            return read;
+        } catch (JsonProcessingException bad) {
+            throw new BadRequest("the body is no JSON: " + bad.getOriginalMessage());
+        }
+    }
+
+    private static String text(JsonNode body, String name) {
+        JsonNode value = body.get(name);
+        if (value == null || !value.isTextual() || value.textValue().isEmpty()) {
+            throw new BadRequest("'" + name + "' takes a text");
+        }
+        return value.textValue();
+    }
+
+    private static long whole(Map<String, List<String>> parameters, String name, long absent, long most) {
+        String text = parameters.getOrDefault(name, List.of(Long.toString(absent))).get(0);
+        if (!text.matches("\\d{1,15}") || Long.parseLong(text) > most) {
+            throw new BadRequest("'" + name + "' takes a whole number up to " + most);
+        }
+        return Long.parseLong(text);
+    }
+
+    // ---- commands
+
+    private CompletableFuture<Answer> command(JsonNode body) {
+        String client = text(body, "client");
+        JsonNode seq = body.get("seq");
+        if (client.length() > 100 || seq == null || !seq.isIntegralNumber() || seq.longValue() < 1) {
+            throw new BadRequest("'client' takes a text of up to 100 characters, 'seq' a number from 1 on");
+        }
+        Command command;
+        try {
+            command = Codec.json().treeToValue(body.get("command"), Command.class);
+        } catch (JsonProcessingException bad) {
+            throw new BadRequest("'command': " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
+        }
+        if (command == null || command.getClass().getName().contains("GroupCommands")) {
+            throw new BadRequest("'command' takes a command for clients");
+        }
+        long waitMs = Math.min(MOST_WAIT_MS, body.path("waitMs").asLong(0));
+        CompletableFuture<Reply> reply = replica.propose(client, seq.longValue(), command);
+        if (command instanceof LeaseCommands.Acquire ask && waitMs > 0) {
+            reply = reply.thenCompose(first -> first instanceof LeaseReplies.Held held && held.queued()
+                ? untilItsTurn(ask, held, System.nanoTime() + waitMs * 1_000_000) : done(first));
+        }
+        return reply.thenApply(said -> new Answer(200, said));
+    }
+
+    private static <T> CompletableFuture<T> done(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+
+    /** Holds the answer back until asking again may bring another one, or the wait is over. */
+    private CompletableFuture<Reply> untilItsTurn(LeaseCommands.Acquire ask, Reply held, long until) {
+        return nextChange(until).thenCompose(changed -> {
+            if (!changed) {
+                return done(held);
+            }
+            return replica.read(state -> state.leases().find(ask.name()), true).thenCompose(row ->
+                row == null || row.owner() == null && ask.owner().equals(row.claimant()) ? done(held)
+                    : untilItsTurn(ask, held, until));
+        });
+    }
+
+    /** True at the state's next change; false once the time is over, or too many wait. */
+    private CompletableFuture<Boolean> nextChange(long until) {
+        CompletableFuture<Boolean> changed = new CompletableFuture<>();
+        long left = until - System.nanoTime();
+        if (left <= 0 || !replica.onChange(() -> changed.complete(true))) {
+            return done(false);
+        }
+        return changed.completeOnTimeout(false, left, TimeUnit.NANOSECONDS);
+    }
+
+    // ---- reads
+
+    /** What was read, and how old it may be. */
+    record Reading(List<Leases.Row> leases, long groupNow, boolean stale) {
+    }
+
+    private CompletableFuture<Answer> leases(Map<String, List<String>> parameters) {
+        String prefix = parameters.getOrDefault("prefix", List.of("")).get(0);
+        int most = (int) whole(parameters, "limit", 1_000, MOST_ROWS);
+        boolean stale = whole(parameters, "stale", 0, 1) == 1;
+        return replica.read(state -> new Reading(state.leases().list(prefix, most), state.time().now(),
+            stale), stale).thenApply(read -> new Answer(200, read));
+    }
+
+    private CompletableFuture<Answer> lease(Map<String, List<String>> parameters) {
+        String name = parameters.getOrDefault("name", List.of("")).get(0);
+        long after = whole(parameters, "after", 0, Long.MAX_VALUE >> 12);
+        long until = System.nanoTime() + whole(parameters, "waitMs", 0, MOST_WAIT_MS) * 1_000_000;
+        return watched(name, after, until);
+    }
+
+    private CompletableFuture<Answer> watched(String name, long after, long until) {
+        return replica.read(state -> {
+            Leases.Row row = state.leases().find(name);
+            return new Reading(row == null ? List.of() : List.of(row), state.time().now(), false);
+        }, false).thenCompose(read -> {
+            long revision = read.leases().isEmpty() ? 0 : read.leases().get(0).revision();
+            return revision != after ? done(new Answer(200, read)) : nextChange(until).thenCompose(changed ->
+                changed ? watched(name, after, until) : done(new Answer(200, read)));
+        });
+    }
+
+    private CompletableFuture<Answer> join(JsonNode body) {
+        return replica.join(text(body, "name"), text(body, "disk"), text(body, "peers"),
+            text(body, "clients")).thenApply(state -> new Answer(200, Map.of("state", state)));
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/front/HttpListener.java
@@ -0,0 +1,127 @@
+package saltstage.coordinator.front;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import saltstage.coordinator.group.Codec;
+import saltstage.log.Log;
+
+/** The front on HTTP/1.1: Netty's codec, bounded in connections, in bytes a request and in silence. */
+public final class HttpListener implements AutoCloseable {
+    private static final int MOST_CONNECTIONS = 4_000;
+    /** A renewal of thousands of leases is the largest call there is. */
+    private static final int MOST_BODY = 1 << 20;
+    private static final int SILENCE_S = 60;
+
+    private final NioEventLoopGroup group =
+        new NioEventLoopGroup(1, new DefaultThreadFactory("front", true));
+    private final Channel channel;
+    private final AtomicInteger connections = new AtomicInteger();
+
+    /** Listens. */
+    public HttpListener(InetSocketAddress at, Front front) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 512).option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel child) {
+                    if (connections.incrementAndGet() > MOST_CONNECTIONS) {
+                        connections.decrementAndGet();
+                        child.close();
+                        return;
+                    }
+                    child.closeFuture().addListener(over -> connections.decrementAndGet());
+                    child.config().setTcpNoDelay(true);
+                    child.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpServerCodec(),
+                        new HttpObjectAggregator(MOST_BODY), new Calls(front));
+                }
+            }).bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
+        }
+        channel = bound.channel();
+    }
+
+    /** One call after the other: the next of a connection is read once this one is answered. */
+    private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Front front;
+        private boolean busy;
+
+        Calls(Front front) {
+            this.front = front;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext on, FullHttpRequest request) {
+            boolean keep = HttpUtil.isKeepAlive(request);
+            if (busy) { // it did not wait for its answer: answers could change places
+                on.close();
+                return;
+            }
+            busy = true;
+            on.channel().config().setAutoRead(false);
+            front.ask(request).whenComplete((answer, never) ->
+                on.executor().execute(() -> write(on, answer, keep)));
+        }
+
+        private void write(ChannelHandlerContext on, Front.Answer answer, boolean keep) {
+            busy = false;
+            byte[] body;
+            boolean raw = answer.body() instanceof byte[];
+            try {
+                body = raw ? (byte[]) answer.body() : Codec.json().writeValueAsBytes(answer.body());
+            } catch (JsonProcessingException impossible) {
+                Log.error("front.fault", impossible);
+                on.close();
+                return;
+            }
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, raw ? "application/cbor"
+                : "application/json").setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            HttpUtil.setKeepAlive(response, keep);
+            ChannelFuture written = on.writeAndFlush(response);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            on.channel().config().setAutoRead(true);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext on, Throwable why) {
+            on.close(); // silence, a reset, or what is no HTTP: nothing of it reached the front
+        }
+    }
+
+    @Override
+    public void close() {
+        channel.close().awaitUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -0,0 +1,125 @@
+package saltstage.coordinator.group;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import saltstage.coordinator.lease.LeaseCommands;
+import saltstage.coordinator.lease.LeaseReplies;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Done;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+
+/**
+ * Commands, replies and snapshots as bytes: CBOR in the log, JSON towards clients, with the same names. A
+ * command or field that this build does not know is refused, never skipped.
+ */
+public final class Codec {
+    /** The form of entries and snapshots; another one is refused. */
+    private static final int FORMAT = 1;
+
+    private static final Map<String, Class<? extends Command>> COMMANDS = new LinkedHashMap<>();
+    private static final Map<String, Class<? extends Reply>> REPLIES = new LinkedHashMap<>();
+
+    static {
+        COMMANDS.put("acquire", LeaseCommands.Acquire.class);
+        COMMANDS.put("renew", LeaseCommands.Renew.class);
+        COMMANDS.put("release", LeaseCommands.Release.class);
+        COMMANDS.put("tick", GroupCommands.Tick.class);
+        COMMANDS.put("introduce", GroupCommands.Introduce.class);
+        COMMANDS.put("forget", GroupCommands.Forget.class);
+        COMMANDS.put("skip-fences", GroupCommands.SkipFences.class);
+        REPLIES.put("done", Done.class);
+        REPLIES.put("refused", Refused.class);
+        REPLIES.put("granted", LeaseReplies.Granted.class);
+        REPLIES.put("held", LeaseReplies.Held.class);
+        REPLIES.put("renewed", LeaseReplies.Renewed.class);
+    }
+
+    /** Written before each entry and snapshot. */
+    private record Entry(int format, Proposal proposal) {
+    }
+
+    private record Kept(int format, GroupState.Image image) {
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "op")
+    private interface Named {
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "result")
+    private interface Resulting {
+    }
+
+    private static final ObjectMapper CBOR = prepared(CBORMapper.builder());
+    private static final ObjectMapper JSON = prepared(JsonMapper.builder());
+
+    private Codec() {
+    }
+
+    private static ObjectMapper prepared(MapperBuilder<?, ?> builder) {
+        builder.addMixIn(Command.class, Named.class).addMixIn(Reply.class, Resulting.class)
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+        COMMANDS.forEach((name, type) -> builder.registerSubtypes(new NamedType(type, name)));
+        REPLIES.forEach((name, type) -> builder.registerSubtypes(new NamedType(type, name)));
+        return builder.build();
+    }
+
+    /** The mapper of what clients send and get. */
+    public static ObjectMapper json() {
+        return JSON;
+    }
+
+    /** The mapper of what replicas keep and say to each other. */
+    public static ObjectMapper cbor() {
+        return CBOR;
+    }
+
+    /** An entry of the log. */
+    public static byte[] entry(Proposal proposal) {
+        return bytes(new Entry(FORMAT, proposal));
+    }
+
+    /** The proposal of an entry. */
+    public static Proposal proposal(byte[] entry) throws IOException {
+        Entry read = CBOR.readValue(entry, Entry.class);
+        if (read.format() != FORMAT) {
+            throw new IOException("entry of format " + read.format() + "; this build reads " + FORMAT);
+        }
+        return read.proposal();
+    }
+
+    /** A snapshot. */
+    public static byte[] snapshot(GroupState.Image image) {
+        return bytes(new Kept(FORMAT, image));
+    }
+
+    /** The state of a snapshot. */
+    public static GroupState.Image image(byte[] snapshot) throws IOException {
+        Kept read = CBOR.readValue(snapshot, Kept.class);
+        if (read.format() != FORMAT) {
+            throw new IOException("snapshot of format " + read.format() + "; this build reads " + FORMAT);
+        }
+        return read.image();
+    }
+
+    /** Any record as CBOR. */
+    public static byte[] bytes(Object record) {
+        try {
+            return CBOR.writeValueAsBytes(record);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalArgumentException(impossible);
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -0,0 +1,154 @@
+package saltstage.coordinator.group;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltstage.coordinator.lease.LeaseCommands;
+import saltstage.coordinator.lease.Leases;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Done;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+
+/**
+ * All that a group keeps, and the one place where a command becomes a change of it. The same log gives the
+ * same state at every replica: nothing here reads a clock, draws a number or does I/O. One thread at a time.
+ */
+public final class GroupState {
+    /** The highest feature level that this build knows. */
+    public static final int SPEAKS = 1;
+
+    /** Where a member is, and the disk that its log is on. */
+    public record MemberRow(String disk, String peers, String clients, int speaks) {
+    }
+
+    /** What a snapshot keeps. */
+    public record Image(int level, GroupTime.Image time, List<Sessions.Row> sessions, Leases.Image leases,
+            Map<String, MemberRow> members) {
+    }
+
+    private int level;
+    private final GroupTime time;
+    private final Sessions sessions;
+    private final Leases leases;
+    private final Map<String, MemberRow> members;
+
+    /** A new group. */
+    public GroupState() {
+        this(new Image(1, GroupTime.zero().image(), List.of(), new Leases().image(), Map.of()));
+    }
+
+    /** As a snapshot has it. */
+    public GroupState(Image image) {
+        level = image.level();
+        time = new GroupTime(image.time());
+        sessions = new Sessions(image.sessions());
+        leases = new Leases(image.leases());
+        members = new TreeMap<>(image.members());
+    }
+
+    /** What a snapshot keeps; equal states give equal images. */
+    public Image image() {
+        return new Image(level, time.image(), sessions.image(), leases.image(), new TreeMap<>(members));
+    }
+
+    /** Carries one entry of the log out. */
+    public Reply apply(Proposal entry) {
+        time.stamped(entry.epoch(), entry.stampMs());
+        leases.advance(time.now());
+        if (entry.client().isEmpty()) {
+            return carryOut(entry.command());
+        }
+        Reply known = sessions.known(entry.client(), entry.seq());
+        if (known != null) {
+            return known;
+        }
+        Reply reply = carryOut(entry.command());
+        sessions.keep(entry.client(), entry.seq(), reply, time.now());
+        return reply;
+    }
+
+    private Reply carryOut(Command command) {
+        if (command.since() > level) {
+            return new Refused("not-yet", "the group works at level " + level + "; this takes level "
+                + command.since() + ", which not every voter knows yet", 0);
+        }
+        if (command instanceof LeaseCommands.Acquire ask) {
+            return leases.acquire(ask, time.now());
+        }
+        if (command instanceof LeaseCommands.Renew ask) {
+            return leases.renew(ask, time.now());
+        }
+        if (command instanceof LeaseCommands.Release ask) {
+            return new Done(leases.release(ask, time.now()) ? "released" : "not-held");
+        }
+        return ownBusiness(command);
+    }
+
+    private Reply ownBusiness(Command command) {
+        if (command instanceof GroupCommands.Tick tick) {
+            time.walls(tick.walls(), tick.voters());
+            tick.speaks().forEach((name, speaks) -> members.computeIfPresent(name, (any, row) ->
+                new MemberRow(row.disk(), row.peers(), row.clients(), speaks)));
+            raise(tick.voters());
+            return new Done("ticked");
+        }
+        if (command instanceof GroupCommands.Introduce who) {
+            MemberRow before = members.get(who.member());
+            if (before != null && !before.disk().equals(who.disk())) {
+                return new Refused("other-disk", who.member() + " was on another disk: remove it first", 0);
+            }
+            members.put(who.member(), new MemberRow(who.disk(), who.peers(), who.clients(),
+                before == null ? 0 : before.speaks()));
+            return new Done("known");
+        }
+        if (command instanceof GroupCommands.Forget who) {
+            members.remove(who.member());
+            return new Done("forgotten");
+        }
+        if (command instanceof GroupCommands.SkipFences skip) {
+            leases.skipFences(skip.upTo());
+            return new Done("skipped");
+        }
+        throw new IllegalStateException("no such command: " + command.getClass().getSimpleName());
+    }
+
+    /** The group uses what every voter knows, and goes back from nothing. */
+    private void raise(Collection<String> voters) {
+        if (voters.isEmpty()) {
+            return;
+        }
+        int least = Integer.MAX_VALUE;
+        for (String voter : voters) {
+            MemberRow row = members.get(voter);
+            least = Math.min(least, row == null ? 0 : row.speaks());
+        }
+        level = Math.max(level, least);
+    }
+
+    /** The feature level that the group works at. */
+    public int level() {
+        return level;
+    }
+
+    /** Its clocks. */
+    public GroupTime time() {
+        return time;
+    }
+
+    /** Its leases. */
+    public Leases leases() {
+        return leases;
+    }
+
+    /** Its members, by name. */
+    public Map<String, MemberRow> members() {
+        return members;
+    }
+
+    /** How many sessions it remembers. */
+    public int sessions() {
+        return sessions.size();
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Machine.java
@@ -0,0 +1,83 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.statemachine.StateMachine;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.model.Reply;
+
+/**
+ * The state as the engine drives it, on the engine's thread. An entry that this build cannot read or carry
+ * out ends the process: the engine would only fail that one call and go on with a state of its own.
+ */
+final class Machine implements StateMachine {
+    private static final int CHUNK = 256 << 10;
+
+    /** Something to be read from the state; never in the log. */
+    record Question(Function<GroupState, Object> asked) {
+    }
+
+    private final Replica.Fatal fatal;
+    private final Runnable changed;
+    private volatile GroupState state = new GroupState();
+
+    Machine(Replica.Fatal fatal, Runnable changed) {
+        this.fatal = fatal;
+        this.changed = changed;
+    }
+
+    GroupState state() {
+        return state;
+    }
+
+    @Override
+    public Object runOperation(long index, Object operation) {
+        if (operation instanceof Question question) {
+            return question.asked().apply(state);
+        }
+        if (!(operation instanceof byte[] entry)) {
+            return null; // the start of a term
+        }
+        Reply reply;
+        try {
+            reply = state.apply(Codec.proposal(entry));
+        } catch (IOException | RuntimeException unknown) {
+            fatal.end(78, "entry " + index + " of the log cannot be carried out by this build: "
+                + unknown.getMessage());
+            throw new IllegalStateException(unknown);
+        }
+        changed.run();
+        return reply;
+    }
+
+    @Override
+    public void takeSnapshot(long index, Consumer<Object> chunks) {
+        byte[] all = Codec.snapshot(state.image());
+        for (int at = 0; at < all.length; at += CHUNK) {
+            chunks.accept(Arrays.copyOfRange(all, at, Math.min(all.length, at + CHUNK)));
+        }
+    }
+
+    @Override
+    public void installSnapshot(long index, List<Object> chunks) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        chunks.forEach(chunk -> all.writeBytes((byte[]) chunk));
+        try {
+            state = new GroupState(Codec.image(all.toByteArray()));
+        } catch (IOException | RuntimeException bad) {
+            fatal.end(78, "the snapshot at " + index + " cannot be read by this build: " + bad.getMessage());
+            throw new IllegalStateException(bad);
+        }
+        changed.run();
+    }
+
+    @Override
+    public Object getNewTermOperation() {
+        return NewTerm.ENTRY;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -0,0 +1,321 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.RaftEndpoint;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import saltstage.coordinator.group.Codec;
+import saltstage.log.Log;
+import saltstage.net.Connection;
+import saltstage.net.Handler;
+import saltstage.net.Loop;
+
+/**
+ * The links among replicas: each keeps one connection to each other, on which it only sends. A connection
+ * begins with who is at its end; whoever belongs to another group, or has come with another disk under a
+ * known name, is told so and refused. What cannot be sent is dropped: the engine sends it again.
+ */
+final class PeerLinks implements Transport {
+    private static final Duration CONNECT = Duration.ofSeconds(1);
+    private static final Duration BEAT = Duration.ofMillis(500);
+    private static final long LEAST_PAUSE_MS = 50;
+    private static final long MOST_PAUSE_MS = 800;
+    private static final int MOST_FRAME = 16 << 20;
+    /**
+     * Half of a gathered snapshot part and many entries: beyond that a peer is too slow to be fed
+     * further.
+     */
+    private static final long MOST_UNSENT = 24 << 20;
+    private static final Connection.Bounds BOUNDS = new Connection.Bounds(1 << 20, 64 << 20);
+
+    private static final byte HELLO = 1;
+    private static final byte RAFT = 2;
+    private static final byte BEAT_FRAME = 3;
+    private static final byte REFUSED = 4;
+
+    /** Who is at the end of a link. */
+    record Hello(String group, String from, String disk, String process, int speaks, String peers,
+            String clients) {
+    }
+
+    /** What time of day it is there, and what that build knows. */
+    record Beat(long wallMs, int speaks) {
+    }
+
+    /** What comes in. */
+    interface Events {
+        /** Somebody is there; null: welcome, else why not. */
+        String hello(Hello who);
+
+        /** A message of the engine's. */
+        void message(String from, byte[] bytes) throws IOException;
+
+        /** A sign of life. */
+        void beat(String from, Beat beat);
+
+        /** A peer refuses this replica. */
+        void refused(String by, String why);
+    }
+
+    private final saltstage.net.Transport transport;
+    private final Loop loop;
+    private final RaftCodec codec;
+    private final Hello self;
+    private final Events events;
+    private final java.util.function.Function<String, InetSocketAddress> addresses;
+    private final java.util.function.Supplier<Beat> beat;
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private saltstage.net.Transport.Listener listener;
+    private volatile boolean ended;
+
+    PeerLinks(saltstage.net.Transport transport, RaftCodec codec, Hello self, Events events,
+            java.util.function.Function<String, InetSocketAddress> addresses,
+            java.util.function.Supplier<Beat> beat) {
+        this.transport = transport;
+        this.codec = codec;
+        this.self = self;
+        this.events = events;
+        this.addresses = addresses;
+        this.beat = beat;
+        loop = transport.loops().get(0);
+    }
+
+    void listen(InetSocketAddress at) throws IOException {
+        listener = transport.listen(at, 64, BOUNDS, connection -> new Inbound());
+        loop.after(BEAT, this::beat);
+    }
+
+    void end() {
+        ended = true;
+        if (listener != null) {
+            listener.close();
+        }
+        loop.run(() -> links.values().forEach(Link::end));
+    }
+
+    private void beat() {
+        if (ended) {
+            return;
+        }
+        byte[] now = Codec.bytes(beat.get());
+        links.values().forEach(link -> link.send(BEAT_FRAME, now));
+        loop.after(BEAT, this::beat);
+    }
+
+    /** Keeps a link to a peer from now on. */
+    void keep(String peer) {
+        if (!ended && !peer.equals(self.from())) {
+            links.computeIfAbsent(peer, name -> {
+                Link link = new Link(name);
+                loop.run(link::connect);
+                return link;
+            });
+        }
+    }
+
+    /** Keeps no link to those that are not among these. */
+    void keepOnly(java.util.Collection<String> peers) {
+        for (String name : Map.copyOf(links).keySet()) {
+            if (!peers.contains(name)) {
+                Link gone = links.remove(name);
+                loop.run(gone::end);
+            }
+        }
+        peers.forEach(this::keep);
+    }
+
+    @Override
+    public void send(RaftEndpoint target, RaftMessage message) {
+        String name = (String) target.getId();
+        keep(name);
+        byte[] bytes = codec.bytes(message);
+        loop.run(() -> {
+            Link link = links.get(name);
+            if (link != null) {
+                link.send(RAFT, bytes);
+            }
+        });
+    }
+
+    @Override
+    public boolean isReachable(RaftEndpoint endpoint) {
+        Link link = links.get((String) endpoint.getId());
+        return link != null && link.up;
+    }
+
+    private static ByteBuffer frame(byte type, byte[] body) {
+        return ByteBuffer.allocate(5 + body.length).putInt(1 + body.length).put(type).put(body).flip();
+    }
+
+    /** Reads frames; what is none ends the connection. */
+    private abstract static class Frames implements Handler {
+        private ByteBuffer held = ByteBuffer.allocate(64 << 10);
+
+        abstract void frame(Connection on, byte type, byte[] body) throws IOException;
+
+        @Override
+        public void received(Connection on, ByteBuffer bytes) {
+            if (held.remaining() < bytes.remaining()) {
+                int need = held.position() + bytes.remaining();
+                held = ByteBuffer.allocate(Math.max(need, 2 * held.capacity())).put(held.flip());
+            }
+            held.put(bytes).flip();
+            try {
+                while (held.remaining() >= 5) {
+                    int length = held.getInt(held.position());
+                    if (length < 1 || length > MOST_FRAME) {
+                        throw new IOException("a frame of " + length + " bytes");
+                    }
+                    if (held.remaining() < 4 + length) {
+                        break;
+                    }
+                    held.getInt();
+                    byte type = held.get();
+                    byte[] body = new byte[length - 1];
+                    held.get(body);
+                    frame(on, type, body);
+                }
+                held.compact();
+            } catch (IOException bad) {
+                Log.warn("peer.malformed", "why", bad.getMessage());
+                held.clear();
+                on.reset();
+            }
+        }
+
+        @Override
+        public void inputEnded(Connection on) {
+            on.close();
+        }
+    }
+
+    /** A connection that a peer keeps to here. */
+    private final class Inbound extends Frames {
+        private String from;
+
+        @Override
+        void frame(Connection on, byte type, byte[] body) throws IOException {
+            if (from == null) {
+                if (type != HELLO) {
+                    throw new IOException("a peer that does not say who it is");
+                }
+                Hello who = Codec.cbor().readValue(body, Hello.class);
+                String why = events.hello(who);
+                if (why != null) {
+                    Log.warn("peer.refused", "peer", who.from(), "why", why);
+                    on.write(PeerLinks.frame(REFUSED, why.getBytes(StandardCharsets.UTF_8)));
+                    on.close();
+                    return;
+                }
+                from = who.from();
+                return;
+            }
+            switch (type) {
+                case RAFT -> events.message(from, body);
+                case BEAT_FRAME -> events.beat(from, Codec.cbor().readValue(body, Beat.class));
+                default -> throw new IOException("a frame of type " + type);
+            }
+        }
+
+        @Override
+        public void closed(Connection on, Connection.Cause why) {
+            Log.info("peer.gone", "peer", from == null ? "nobody" : from, "why", why);
+        }
+    }
+
+    /** The connection kept to a peer. */
+    private final class Link extends Frames implements saltstage.net.Transport.Connecting {
+        private final String peer;
+        private Connection connection;
+        private long pause = LEAST_PAUSE_MS;
+        private boolean over;
+        private volatile boolean up;
+
+        Link(String peer) {
+            this.peer = peer;
+        }
+
+        void connect() {
+            if (over || ended) {
+                return;
+            }
+            InetSocketAddress at = addresses.apply(peer);
+            if (at == null) {
+                later();
+            } else {
+                transport.connect(loop, at, CONNECT, BOUNDS, this);
+            }
+        }
+
+        private void later() {
+            long drawn = pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1);
+            pause = Math.min(MOST_PAUSE_MS, pause * 2);
+            loop.after(Duration.ofMillis(drawn), this::connect);
+        }
+
+        @Override
+        public Handler connected(Connection made) {
+            if (over) {
+                made.reset();
+                return this;
+            }
+            connection = made;
+            pause = LEAST_PAUSE_MS;
+            made.write(PeerLinks.frame(HELLO, Codec.bytes(self)));
+            made.write(PeerLinks.frame(BEAT_FRAME, Codec.bytes(beat.get())));
+            up = true;
+            return this;
+        }
+
+        @Override
+        public void failed(IOException why) {
+            later();
+        }
+
+        void send(byte type, byte[] body) {
+            if (connection != null && connection.unsent() < MOST_UNSENT) {
+                connection.write(PeerLinks.frame(type, body));
+            }
+        }
+
+        @Override
+        void frame(Connection on, byte type, byte[] body) throws IOException {
+            if (type != REFUSED) {
+                throw new IOException("a frame of type " + type + " on a link that only sends");
+            }
+            pause = MOST_PAUSE_MS;
+            events.refused(peer, new String(body, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void closed(Connection on, Connection.Cause why) {
+            up = false;
+            connection = null;
+            if (!over && !ended) {
+                later();
+            }
+        }
+
+        void end() {
+            over = true;
+            if (connection != null) {
+                connection.close();
+            }
+        }
+    }
+
+    /** How the links stand, by peer. */
+    Map<String, Boolean> up() {
+        Map<String, Boolean> now = new HashMap<>();
+        links.forEach((name, link) -> now.put(name, link.up));
+        return now;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/RaftCodec.java
@@ -0,0 +1,261 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.InstallSnapshotResponse;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.TriggerLeaderElectionRequest;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.model.message.VoteResponse;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import saltstage.coordinator.group.Codec;
+
+/**
+ * The consensus engine's messages and what its log keeps, as CBOR. One flat form for all messages: which of
+ * its figures a kind uses stands where that kind is made and read.
+ */
+final class RaftCodec {
+    private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
+
+    /** The kinds of messages, by their place: new ones go to the end. */
+    private enum Kind {
+        APPEND, APPENDED, NOT_APPENDED, SNAPSHOT, SNAPSHOT_TAKEN, PRE_VOTE, PRE_VOTED, VOTE, VOTED, TAKE_OVER
+    }
+
+    /** An operation: a proposal's bytes, a change of the members, or, with neither, the start of a term. */
+    record Op(byte[] proposal, Members members, String endpoint, String mode) {
+    }
+
+    /** An entry of the log. */
+    record Entry(long index, int term, Op op) {
+    }
+
+    /** Who is in the group since an index; who votes. */
+    record Members(long index, List<String> all, List<String> voting) {
+    }
+
+    /** A part of a snapshot. */
+    record Chunk(long index, int term, byte[] bytes, int at, int of, Members members) {
+    }
+
+    /** Term and vote. */
+    record Term(int term, String votedFor) {
+    }
+
+    /** This replica. */
+    record Self(String member, boolean voting) {
+    }
+
+    /** A message. */
+    private record Packet(Kind kind, String from, int term, int otherTerm, long index, long commit,
+            long query, long flow, boolean flag, int count, List<Entry> entries, Chunk chunk, Members members,
+            List<String> holders) {
+    }
+
+    private final Object group;
+
+    RaftCodec(Object group) {
+        this.group = group;
+    }
+
+    // ---- parts
+
+    private static String name(RaftEndpoint endpoint) {
+        return endpoint == null ? null : (String) endpoint.getId();
+    }
+
+    private static List<String> names(Collection<RaftEndpoint> endpoints) {
+        return endpoints.stream().map(RaftCodec::name).toList();
+    }
+
+    private static RaftEndpoint member(String name) {
+        return name == null ? null : new Member(name);
+    }
+
+    private static Collection<RaftEndpoint> members(List<String> names) {
+        return new ArrayList<>(names.stream().map(RaftCodec::member).toList());
+    }
+
+    static Members members(RaftGroupMembersView view) {
+        return view == null ? null
+            : new Members(view.getLogIndex(), names(view.getMembers()), names(view.getVotingMembers()));
+    }
+
+    static RaftGroupMembersView view(Members members) {
+        return members == null ? null : MODEL.createRaftGroupMembersViewBuilder().setLogIndex(members.index())
+            .setMembers(members(members.all())).setVotingMembers(members(members.voting())).build();
+    }
+
+    private static Op op(Object operation) {
+        if (operation instanceof byte[] proposal) {
+            return new Op(proposal, null, null, null);
+        }
+        if (operation instanceof UpdateRaftGroupMembersOp change) {
+            return new Op(null, new Members(0, names(change.getMembers()), names(change.getVotingMembers())),
+                name(change.getEndpoint()), change.getMode().name());
+        }
+        return new Op(null, null, null, null);
+    }
+
+    private static Object operation(Op op) {
+        if (op.proposal() != null) {
+            return op.proposal();
+        }
+        if (op.members() == null) {
+            return NewTerm.ENTRY;
+        }
+        return MODEL.createUpdateRaftGroupMembersOpBuilder().setMembers(members(op.members().all()))
+            .setVotingMembers(members(op.members().voting())).setEndpoint(member(op.endpoint()))
+            .setMode(MembershipChangeMode.valueOf(op.mode())).build();
+    }
+
+    static Entry entry(LogEntry entry) {
+        return new Entry(entry.getIndex(), entry.getTerm(), op(entry.getOperation()));
+    }
+
+    static LogEntry logEntry(Entry entry) {
+        return MODEL.createLogEntryBuilder().setIndex(entry.index()).setTerm(entry.term())
+            .setOperation(operation(entry.op())).build();
+    }
+
+    static Chunk chunk(SnapshotChunk chunk) {
+        return chunk == null ? null : new Chunk(chunk.getIndex(), chunk.getTerm(),
+            (byte[]) chunk.getOperation(), chunk.getSnapshotChunkIndex(), chunk.getSnapshotChunkCount(),
+            members(chunk.getGroupMembersView()));
+    }
+
+    static SnapshotChunk snapshotChunk(Chunk chunk) {
+        return chunk == null ? null : MODEL.createSnapshotChunkBuilder().setIndex(chunk.index())
+            .setTerm(chunk.term()).setOperation(chunk.bytes()).setSnapshotChunkIndex(chunk.at())
+            .setSnapshotChunkCount(chunk.of()).setGroupMembersView(view(chunk.members())).build();
+    }
+
+    // ---- messages
+
+    byte[] bytes(RaftMessage message) {
+        return Codec.bytes(packet(message));
+    }
+
+    private static Packet plain(Kind kind, RaftMessage message, int otherTerm, long index, boolean flag) {
+        return new Packet(kind, name(message.getSender()), message.getTerm(), otherTerm, index, 0, 0, 0, flag,
+            0, null, null, null, null);
+    }
+
+    private static Packet answer(Kind kind, RaftMessage message, long index, int count, long query,
+            long flow) {
+        return new Packet(kind, name(message.getSender()), message.getTerm(), 0, index, 0, query, flow, false,
+            count, null, null, null, null);
+    }
+
+    private static Packet packet(RaftMessage message) {
+        if (message instanceof AppendEntriesRequest m) {
+            return new Packet(Kind.APPEND, name(m.getSender()), m.getTerm(), m.getPreviousLogTerm(),
+                m.getPreviousLogIndex(), m.getCommitIndex(), m.getQuerySequenceNumber(),
+                m.getFlowControlSequenceNumber(), false, 0,
+                m.getLogEntries().stream().map(RaftCodec::entry).toList(), null, null, null);
+        }
+        if (message instanceof AppendEntriesSuccessResponse m) {
+            return answer(Kind.APPENDED, m, m.getLastLogIndex(), 0, m.getQuerySequenceNumber(),
+                m.getFlowControlSequenceNumber());
+        }
+        if (message instanceof AppendEntriesFailureResponse m) {
+            return answer(Kind.NOT_APPENDED, m, m.getExpectedNextIndex(), 0, m.getQuerySequenceNumber(),
+                m.getFlowControlSequenceNumber());
+        }
+        if (message instanceof InstallSnapshotRequest m) {
+            return new Packet(Kind.SNAPSHOT, name(m.getSender()), m.getTerm(), m.getSnapshotTerm(),
+                m.getSnapshotIndex(), 0, m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber(),
+                m.isSenderLeader(), m.getTotalSnapshotChunkCount(), null, chunk(m.getSnapshotChunk()),
+                members(m.getGroupMembersView()), names(m.getSnapshottedMembers()));
+        }
+        if (message instanceof InstallSnapshotResponse m) {
+            return answer(Kind.SNAPSHOT_TAKEN, m, m.getSnapshotIndex(), m.getRequestedSnapshotChunkIndex(),
+                m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber());
+        }
+        if (message instanceof PreVoteRequest m) {
+            return plain(Kind.PRE_VOTE, m, m.getLastLogTerm(), m.getLastLogIndex(), false);
+        }
+        if (message instanceof PreVoteResponse m) {
+            return plain(Kind.PRE_VOTED, m, 0, 0, m.isGranted());
+        }
+        if (message instanceof VoteRequest m) {
+            return plain(Kind.VOTE, m, m.getLastLogTerm(), m.getLastLogIndex(), m.isSticky());
+        }
+        if (message instanceof VoteResponse m) {
+            return plain(Kind.VOTED, m, 0, 0, m.isGranted());
+        }
+        if (message instanceof TriggerLeaderElectionRequest m) {
+            return plain(Kind.TAKE_OVER, m, m.getLastLogTerm(), m.getLastLogIndex(), false);
+        }
+        throw new IllegalArgumentException("a message of no known kind: " + message.getClass());
+    }
+
+    /** The message of these bytes; what is none is an IOException. */
+    RaftMessage message(byte[] bytes) throws IOException {
+        Packet p = Codec.cbor().readValue(bytes, Packet.class);
+        if (p.kind() == null || p.from() == null) {
+            throw new IOException("a message without kind or sender");
+        }
+        return switch (p.kind()) {
+            case APPEND -> MODEL.createAppendEntriesRequestBuilder().setGroupId(group)
+                .setSender(member(p.from())).setTerm(p.term()).setPreviousLogTerm(p.otherTerm())
+                .setPreviousLogIndex(p.index()).setCommitIndex(p.commit())
+                .setLogEntries(p.entries().stream().map(RaftCodec::logEntry).toList())
+                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+            case APPENDED -> MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId(group)
+                .setSender(member(p.from())).setTerm(p.term()).setLastLogIndex(p.index())
+                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+            case NOT_APPENDED -> MODEL.createAppendEntriesFailureResponseBuilder().setGroupId(group)
+                .setSender(member(p.from())).setTerm(p.term()).setExpectedNextIndex(p.index())
+                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+            case SNAPSHOT, SNAPSHOT_TAKEN -> snapshotMessage(p);
+            case PRE_VOTE, PRE_VOTED, VOTE, VOTED, TAKE_OVER -> electionMessage(p);
+        };
+    }
+
+    private RaftMessage snapshotMessage(Packet p) {
+        if (p.kind() == Kind.SNAPSHOT_TAKEN) {
+            return MODEL.createInstallSnapshotResponseBuilder().setGroupId(group).setSender(member(p.from()))
+                .setTerm(p.term()).setSnapshotIndex(p.index()).setRequestedSnapshotChunkIndex(p.count())
+                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+        }
+        return MODEL.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(member(p.from()))
+            .setTerm(p.term()).setSenderLeader(p.flag()).setSnapshotTerm(p.otherTerm())
+            .setSnapshotIndex(p.index()).setTotalSnapshotChunkCount(p.count())
+            .setSnapshotChunk(snapshotChunk(p.chunk())).setSnapshottedMembers(members(p.holders()))
+            .setGroupMembersView(view(p.members())).setQuerySequenceNumber(p.query())
+            .setFlowControlSequenceNumber(p.flow()).build();
+    }
+
+    private RaftMessage electionMessage(Packet p) {
+        RaftEndpoint from = member(p.from());
+        return switch (p.kind()) {
+            case PRE_VOTE -> MODEL.createPreVoteRequestBuilder().setGroupId(group).setSender(from)
+                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index()).build();
+            case PRE_VOTED -> MODEL.createPreVoteResponseBuilder().setGroupId(group).setSender(from)
+                .setTerm(p.term()).setGranted(p.flag()).build();
+            case VOTE -> MODEL.createVoteRequestBuilder().setGroupId(group).setSender(from)
+                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index())
+                .setSticky(p.flag()).build();
+            case VOTED -> MODEL.createVoteResponseBuilder().setGroupId(group).setSender(from)
+                .setTerm(p.term()).setGranted(p.flag()).build();
+            default -> MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(group).setSender(from)
+                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index()).build();
+        };
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' settings of a group, in HCL. */
+package saltstage.coordinator.settings;
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/lease/LeasesTest.java
@@ -0,0 +1,170 @@
+package saltstage.coordinator.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import saltstage.coordinator.lease.LeaseCommands.Acquire;
+import saltstage.coordinator.lease.LeaseCommands.Release;
+import saltstage.coordinator.lease.LeaseCommands.Renew;
+import saltstage.coordinator.lease.LeaseReplies.Granted;
+import saltstage.coordinator.lease.LeaseReplies.Held;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+
+/** Leases in group time. */
+class LeasesTest {
+    private final Leases leases = new Leases();
+
+    private Reply ask(String owner, int priority, boolean queue, long now) {
+        return leases.acquire(new Acquire("x", owner, 1_000, priority, queue), now);
+    }
+
+    private static long fence(Reply reply) {
+        return assertInstanceOf(Granted.class, reply, String.valueOf(reply)).fence();
+    }
+
+    @Test
+    void oneHolderUntilItsTimeIsOverAndNeverTheSameFenceTwice() {
+        long first = fence(ask("a", 0, false, 0));
+        assertInstanceOf(Held.class, ask("b", 0, false, 999));
+        long second = fence(ask("b", 0, false, 1_000));
+        assertTrue(second > first);
+        assertFalse(leases.renew(new Renew("a", Map.of("x", first)), 1_001).lost().isEmpty());
+        assertFalse(leases.release(new Release("x", "a", first), 1_002), "an old fence frees nothing");
+        assertTrue(leases.holds("x", "b", second, 1_003));
+    }
+
+    @Test
+    void askingAgainIsTheSameGrantAndNeverShortensIt() {
+        long fence = fence(ask("a", 0, false, 0));
+        assertEquals(fence, fence(leases.acquire(new Acquire("x", "a", 500, 0, false), 10)));
+        assertInstanceOf(Held.class, ask("b", 0, false, 999));
+    }
+
+    @Test
+    void waitersGoByPriorityThenByOrderAndKeepTheirPlaceByAskingAgain() {
+        fence(ask("a", 0, false, 0));
+        ask("low", 0, true, 1);
+        ask("low2", 0, true, 2);
+        ask("high", 5, true, 3);
+        ask("low", 0, true, 900);
+        assertEquals(1, ((Held) ask("low", 0, true, 990)).ahead());
+        ask("low2", 0, true, 990);
+        assertInstanceOf(Held.class, ask("low", 0, true, 1_000), "it is kept for the one of higher priority");
+        long fence = fence(ask("high", 5, true, 1_001));
+        leases.release(new Release("x", "high", fence), 1_002);
+        assertInstanceOf(Held.class, ask("low2", 0, true, 1_003));
+        fence(ask("low", 0, true, 1_004));
+    }
+
+    @Test
+    void waiterThatDiedIsPassedOver() {
+        fence(ask("a", 0, false, 0));
+        ask("dead", 9, true, 1);
+        ask("b", 0, true, 900);
+        assertInstanceOf(Held.class, ask("b", 0, true, 1_010), "the first has its turn to ask");
+        fence(ask("b", 0, true, 1_010 + Leases.CLAIM_MS));
+    }
+
+    @Test
+    void nothingIsLeftOfWhatNobodyHoldsOrWantsAnyMore() {
+        fence(ask("a", 0, false, 0));
+        ask("b", 0, true, 1);
+        leases.advance(100_000);
+        assertEquals(0, leases.size());
+        assertEquals(Long.MAX_VALUE, leases.nextDue());
+    }
+
+    @Test
+    void whatIsNoNameOrSpanIsRefusedAndChangesNothing() {
+        for (String name : new String[] {null, "", "a b", "x".repeat(201), "\u00e9"}) {
+            assertInstanceOf(Refused.class, leases.acquire(new Acquire(name, "a", 1_000, 0, false), 0));
+        }
+        for (long ttl : new long[] {0, -1, 499, 3_600_001, Long.MAX_VALUE}) {
+            assertInstanceOf(Refused.class, leases.acquire(new Acquire("x", "a", ttl, 0, true), 0));
+        }
+        assertEquals(0, leases.size());
+    }
+
+    @Test
+    void thousandsThatEndAtOnceAllEnd() {
+        for (int i = 0; i < 10_000; i++) {
+            fence(leases.acquire(new Acquire("l" + i, "o" + i, 1_000, 0, false), 0));
+        }
+        leases.advance(1_000);
+        assertEquals(0, leases.size());
+    }
+
+    /**
+     * Against a plain model: whoever was granted holds until its time is over or it gives up, nobody else is
+     * granted meanwhile, fences only grow, and a copy through an image goes on the same way.
+     */
+    @Property(tries = 300)
+    void grantsNeverOverlapWhateverHappens(@ForAll long seed) {
+        Random drawn = new Random(seed);
+        Leases played = new Leases();
+        Map<String, Long> until = new HashMap<>();
+        Map<String, String> holder = new HashMap<>();
+        Map<String, Long> fences = new HashMap<>();
+        long last = 0;
+        for (long now = 0; now < 40_000; now += drawn.nextInt(400)) {
+            String name = "n" + drawn.nextInt(2);
+            String owner = "o" + drawn.nextInt(4);
+            if (until.getOrDefault(name, 0L) <= now) {
+                holder.remove(name);
+            }
+            switch (drawn.nextInt(4)) {
+                case 0, 1 -> {
+                    long ttl = 500 + drawn.nextInt(1_000);
+                    if (played.acquire(new Acquire(name, owner, ttl, drawn.nextInt(3), drawn.nextBoolean()),
+                            now) instanceof Granted granted) {
+                        boolean again = owner.equals(holder.get(name));
+                        assertTrue(again || holder.get(name) == null, "granted to a second holder");
+                        assertTrue(again ? granted.fence() == fences.get(name) : granted.fence() > last);
+                        last = Math.max(last, granted.fence());
+                        until.merge(name, now + ttl, again ? Math::max : (old, made) -> made);
+                        holder.put(name, owner);
+                        fences.put(name, granted.fence());
+                    }
+                }
+                case 2 -> {
+                    long fence = drawn.nextBoolean() ? fences.getOrDefault(name, 1L) : drawn.nextInt(5);
+                    played.release(new Release(name, owner, fence), now);
+                    if (owner.equals(holder.get(name)) && fence == fences.get(name)) {
+                        holder.remove(name);
+                    }
+                }
+                default -> {
+                    Leases.Image image = played.image();
+                    played = new Leases(image);
+                    assertEquals(image, played.image());
+                }
+            }
+            String holds = holder.get(name);
+            assertEquals(holds != null, holds != null && played.holds(name, holds, fences.get(name), now));
+        }
+    }
+
+    @Test
+    void renewingNamesWhatIsLostAndKeepsTheRest() {
+        List<Long> got = new ArrayList<>();
+        for (String name : List.of("a", "b")) {
+            got.add(fence(leases.acquire(new Acquire(name, "o", 1_000, 0, false), 0)));
+        }
+        leases.release(new Release("a", "o", got.get(0)), 1);
+        var renewed = leases.renew(new Renew("o", Map.of("a", got.get(0), "b", got.get(1))), 900);
+        assertEquals(List.of("a"), renewed.lost());
+        assertTrue(leases.holds("b", "o", got.get(1), 1_899));
+        assertFalse(leases.holds("b", "o", got.get(1), 1_900));
+    }
+}
--- a/relay/src/main/java/saltstage/config/HclBlock.java
+++ b/relay/src/main/java/saltstage/config/HclBlock.java
@@ -17,7 +17,7 @@
  * One block of an operator's file. Its attributes are asked for by name, each checked where it is asked for;
  * {@link #finish} then refuses whatever nobody has asked for. Every complaint names file, line and name.
  */
-final class HclBlock {
+public final class HclBlock {
     private static final Pattern SPAN = Pattern.compile("(\\d{1,9})(ms|s|m|h|d)");
     private static final Pattern SIZE = Pattern.compile("(\\d{1,12})(B|KiB|MiB|GiB)?");
 
@@ -51,18 +51,19 @@
         blocks.add(inner);
     }
 
-    List<String> labels() {
+    /** Its labels, in order. */
+    public List<String> labels() {
         return labels;
     }
 
     /** All inner blocks of a type, in order. */
-    List<HclBlock> all(String name) {
+    public List<HclBlock> all(String name) {
         asked.add("block " + name);
         return blocks.stream().filter(inner -> inner.type.equals(name)).toList();
     }
 
     /** The one inner block of a type, without labels, or null. */
-    HclBlock one(String name) throws MalformedException {
+    public HclBlock one(String name) throws MalformedException {
         List<HclBlock> found = all(name);
         if (found.size() > 1) {
             throw found.get(1).complaint("'" + name + "' is given twice");
@@ -74,7 +75,7 @@
     }
 
     /** A text; null where it is absent and nothing stands for it. */
-    String text(String name, String absent) throws MalformedException {
+    public String text(String name, String absent) throws MalformedException {
         Given given = take(name);
         if (given == null) {
             return absent;
@@ -86,7 +87,7 @@
     }
 
     /** A text that must be there. */
-    String need(String name) throws MalformedException {
+    public String need(String name) throws MalformedException {
         String text = text(name, null);
         if (text == null) {
             throw complaint("'" + name + "' is missing");
@@ -95,7 +96,7 @@
     }
 
     /** One of the constants of an enum, written in small letters. */
-    <E extends Enum<E>> E word(String name, Class<E> of, E absent) throws MalformedException {
+    public <E extends Enum<E>> E word(String name, Class<E> of, E absent) throws MalformedException {
         String text = text(name, null);
         if (text == null) {
             return absent;
@@ -109,7 +110,7 @@
     }
 
     /** A whole number within bounds. */
-    long whole(String name, long absent, long least, long most) throws MalformedException {
+    public long whole(String name, long absent, long least, long most) throws MalformedException {
         Given given = take(name);
         if (given == null) {
             return absent;
@@ -121,7 +122,7 @@
     }
 
     /** Yes or no. */
-    boolean flag(String name, boolean absent) throws MalformedException {
+    public boolean flag(String name, boolean absent) throws MalformedException {
         Given given = take(name);
         if (given == null) {
             return absent;
@@ -133,7 +134,8 @@
     }
 
     /** A span such as "250ms", "10s", "5m", "24h" or "30d" within bounds. */
-    Duration span(String name, Duration absent, Duration least, Duration most) throws MalformedException {
+    public Duration span(String name, Duration absent, Duration least, Duration most)
+            throws MalformedException {
         String text = text(name, null);
         if (text == null) {
             return absent;
@@ -157,7 +159,7 @@
     }
 
     /** A size in bytes such as "64KiB" or "8MiB" within bounds. */
-    long size(String name, long absent, long least, long most) throws MalformedException {
+    public long size(String name, long absent, long least, long most) throws MalformedException {
         String text = text(name, null);
         if (text == null) {
             return absent;
@@ -179,7 +181,7 @@
     }
 
     /** Refuses what nobody has asked for. */
-    void finish() throws MalformedException {
+    public void finish() throws MalformedException {
         for (Map.Entry<String, Given> given : attributes.entrySet()) {
             if (!asked.contains(given.getKey())) {
                 throw at(given.getValue().line(), "unknown attribute '" + given.getKey() + "'");
@@ -193,12 +195,12 @@
     }
 
     /** A complaint about this block as a whole. */
-    MalformedException complaint(String what) {
+    public MalformedException complaint(String what) {
         return at(line, what);
     }
 
     /** A complaint about an attribute that was taken. */
-    MalformedException wrong(String name, String takes) {
+    public MalformedException wrong(String name, String takes) {
         return at(attributes.get(name).line(), "'" + name + "' takes " + takes);
     }
 
--- a/relay/src/main/java/saltstage/config/HclFile.java
+++ b/relay/src/main/java/saltstage/config/HclFile.java
@@ -23,7 +23,7 @@
  * is counted against what the library made of it, and the first that is not accounted for is refused with
  * its line. Only plain values are taken: no functions, variables, templates or here-documents.
  */
-final class HclFile {
+public final class HclFile {
     private static final Pattern WHERE = Pattern.compile("line: (\\d+)");
     private static final Pattern WORD = Pattern.compile("[A-Za-z_][A-Za-z0-9_-]*");
     private static final Pattern NUMBER = Pattern.compile("-?\\d{1,15}(\\.\\d{1,9})?");
@@ -39,7 +39,7 @@
     }
 
     /** Parses the text of a file that errors shall call by this name; the block returned is its top level. */
-    static HclBlock parse(String name, String text) throws MalformedException {
+    public static HclBlock parse(String name, String text) throws MalformedException {
         return new HclFile(name).top(text);
     }
 
