Trial: holders of a lease as processes, with faults between them and a witness outside

Need: what a group promises is worth what real processes keep of it while they are killed, paused and cut off.

--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -10,12 +10,14 @@
 import saltstage.lab.measure.RestartCommand;
 import saltstage.lab.measure.StartupCommand;
 import saltstage.lab.store.StoreBench;
+import saltstage.lab.trial.TrialCommand;
+import saltstage.lab.trial.WorkerCommand;
 
 /** The laboratory's command line. */
 @Command(name = "lab", description = "Stand-ins, load and measurements for saltstage; never in service.",
     mixinStandardHelpOptions = true,
     subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, StoreBench.class,
-        RestartCommand.class, LoadCommand.class, AmqpBench.class,
+        RestartCommand.class, LoadCommand.class, AmqpBench.class, TrialCommand.class, WorkerCommand.class,
         CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/Proc.java
@@ -0,0 +1,120 @@
+package saltstage.lab.trial;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import saltstage.lab.Home;
+
+/** A process of a trial: started, killed, paused and gone on with by its own id, and started again. */
+final class Proc implements AutoCloseable {
+    private static final List<String> JAVA = List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+        .toString(), "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+
+    private final String name;
+    private final List<String> command;
+    private final File log;
+    private Process process;
+    private boolean paused;
+
+    private Proc(String name, List<String> command, Path dir) {
+        this.name = name;
+        this.command = command;
+        log = dir.resolve(name + ".log").toFile();
+    }
+
+    /** A program of the coordinator's jar. */
+    static Proc coordinator(String name, Path jar, Path dir, List<String> words) {
+        return java(name, jar, dir, words);
+    }
+
+    /** The jar that was built here. */
+    static Path builtJar() {
+        return Home.root().resolve("coordinator/target/coordinator.jar");
+    }
+
+    /** A program of the laboratory, run from the classes of this process. */
+    static Proc lab(String name, Path dir, List<String> words) {
+        List<String> command = new ArrayList<>(JAVA);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "saltstage.lab.Lab"));
+        command.addAll(words);
+        return new Proc(name, command, dir);
+    }
+
+    /** A program of any jar. */
+    static Proc java(String name, Path jar, Path dir, List<String> words) {
+        List<String> command = new ArrayList<>(JAVA);
+        command.addAll(List.of("-jar", jar.toString()));
+        command.addAll(words);
+        return new Proc(name, command, dir);
+    }
+
+    String name() {
+        return name;
+    }
+
+    synchronized Proc start() throws IOException {
+        process = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        paused = false;
+        return this;
+    }
+
+    synchronized boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    synchronized boolean paused() {
+        return paused;
+    }
+
+    synchronized int exitCode() {
+        return process.exitValue();
+    }
+
+    File log() {
+        return log;
+    }
+
+    /** SIGKILL. */
+    synchronized void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+        paused = false;
+    }
+
+    /** SIGTERM; returns whether it ended in time. */
+    boolean end(long withinMs) throws InterruptedException {
+        process.destroy();
+        return process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void signal(String which) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** SIGSTOP. */
+    synchronized void pause() throws IOException, InterruptedException {
+        if (alive()) {
+            signal("STOP");
+            paused = true;
+        }
+    }
+
+    /** SIGCONT. */
+    synchronized void goOn() throws IOException, InterruptedException {
+        if (alive() && paused) {
+            signal("CONT");
+        }
+        paused = false;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        if (process != null) {
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/TrialCommand.java
@@ -0,0 +1,87 @@
+package saltstage.lab.trial;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.lab.Home;
+
+/** Trials of leases, one seed after the other; a seed that fails is shrunk to the faults that it takes. */
+@Command(name = "trial", mixinStandardHelpOptions = true,
+    description = "Real processes with faults between them; exit 1 with the seeds that failed.")
+public final class TrialCommand implements Callable<Integer> {
+    @Option(names = "--seeds", defaultValue = "1..10", description = "A..B (default: ${DEFAULT-VALUE})")
+    private String seeds;
+
+    @Option(names = "--replicas", defaultValue = "3")
+    private int replicas;
+
+    @Option(names = "--workers", defaultValue = "3")
+    private int workers;
+
+    @Option(names = "--seconds", defaultValue = "12", description = "of faults, each seed")
+    private int seconds;
+
+    @Option(names = "--jars", split = ",", description = "a coordinator jar a replica, to pair versions")
+    private List<Path> jars;
+
+    @Option(names = "--keep", description = "keep the folder of each trial")
+    private boolean keep;
+
+    @Override
+    public Integer call() throws Exception {
+        String[] ends = seeds.split("\\.\\.");
+        long first = Long.parseLong(ends[0]);
+        long last = Long.parseLong(ends[ends.length - 1]);
+        List<Long> failed = new ArrayList<>();
+        long acts = 0;
+        long grants = 0;
+        int stale = 0;
+        for (long seed = first; seed <= last; seed++) {
+            LeaseTrial.Verdict verdict = play(seed, null);
+            System.out.printf("seed %d: %d acts, %d grants, %d late acts of paused holders refused, longest"
+                + " gap %d ms%s%n", seed, verdict.acts(), verdict.grants(), verdict.staleOfPaused(),
+                verdict.longestGapMs(), verdict.broken().isEmpty() ? "" : ", BROKEN " + verdict.broken());
+            acts += verdict.acts();
+            grants += verdict.grants();
+            stale += verdict.staleOfPaused();
+            if (!verdict.broken().isEmpty()) {
+                failed.add(seed);
+                shrink(seed, verdict.faults());
+            }
+        }
+        System.out.printf("%d trials, %d acts, %d grants, %d late acts refused, failed: %s%n",
+            last - first + 1, acts, grants, stale, failed);
+        return failed.isEmpty() ? 0 : 1;
+    }
+
+    private LeaseTrial.Verdict play(long seed, List<LeaseTrial.Fault> faults) throws Exception {
+        Path dir = Files.createTempDirectory("trial-" + seed + "-");
+        LeaseTrial trial = new LeaseTrial(dir, replicas, workers, seconds * 1_000,
+            jars == null ? List.of(Proc.builtJar()) : jars);
+        LeaseTrial.Verdict verdict = trial.play(seed, faults == null ? trial.script(seed) : faults);
+        if (keep || !verdict.broken().isEmpty()) {
+            System.out.println("  in " + dir);
+        } else {
+            Home.delete(dir);
+        }
+        return verdict;
+    }
+
+    /** Leaves out fault after fault as long as it still fails; real time may need luck to fail again. */
+    private void shrink(long seed, List<LeaseTrial.Fault> faults) throws Exception {
+        List<LeaseTrial.Fault> left = new ArrayList<>(faults);
+        for (LeaseTrial.Fault each : faults) {
+            List<LeaseTrial.Fault> fewer = new ArrayList<>(left);
+            fewer.remove(each);
+            if (!play(seed, fewer).broken().isEmpty()) {
+                left = fewer;
+            }
+        }
+        System.out.println("  seed " + seed + " fails with:");
+        left.forEach(fault -> System.out.println("    " + fault));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/Witness.java
@@ -0,0 +1,105 @@
+package saltstage.lab.trial;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A guarded resource outside the group: it takes acts, each with its holder and fence, refuses those of a
+ * fence lower than one that it has seen, and keeps all of it for the judgement.
+ */
+final class Witness implements AutoCloseable {
+    /** An act as it came in. */
+    record Act(long atMs, String holder, long fence, boolean taken) {
+    }
+
+    private final ServerSocket listener;
+    private final long start = System.nanoTime();
+    private final List<Act> acts = new ArrayList<>();
+    private final Map<Long, String> owners = new TreeMap<>();
+    private final List<String> faults = new ArrayList<>();
+    private long highest;
+
+    Witness() throws IOException {
+        listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::accept, "witness");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket from = listener.accept();
+                Thread thread = new Thread(() -> serve(from), "witness");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket from) {
+        try (from; BufferedReader in = new BufferedReader(
+                new InputStreamReader(from.getInputStream(), StandardCharsets.US_ASCII))) {
+            from.setTcpNoDelay(true);
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String[] words = line.split(" ");
+                boolean taken = act(words[0], Long.parseLong(words[1]));
+                String answer = taken ? "ok\n" : "stale\n";
+                from.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException over) {
+            return;
+        }
+    }
+
+    private synchronized boolean act(String holder, long fence) {
+        boolean taken = fence >= highest;
+        highest = Math.max(highest, fence);
+        acts.add(new Act((System.nanoTime() - start) / 1_000_000, holder, fence, taken));
+        String owner = owners.putIfAbsent(fence, holder);
+        if (owner != null && !owner.equals(holder)) {
+            faults.add("fence " + fence + " was given to " + owner + " and to " + holder);
+        }
+        return taken;
+    }
+
+    /** Acts so far. */
+    synchronized List<Act> acts() {
+        return List.copyOf(acts);
+    }
+
+    /** Grants that led to an act. */
+    synchronized int grants() {
+        return owners.size();
+    }
+
+    /** Fences that were used by two holders. */
+    synchronized List<String> faults() {
+        return List.copyOf(faults);
+    }
+
+    long nowMs() {
+        return (System.nanoTime() - start) / 1_000_000;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/WorkerCommand.java
@@ -0,0 +1,72 @@
+package saltstage.lab.trial;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.LeaseClient;
+import saltstage.coordinator.client.Ticker;
+
+/** Takes a lease again and again, and acts at the witness while it holds it. */
+@Command(name = "trial-worker", description = "One holder of a trial.", hidden = true)
+public final class WorkerCommand implements Callable<Integer> {
+    @Option(names = "--at", split = ",", required = true)
+    private List<String> places;
+
+    @Option(names = "--witness", required = true)
+    private int witness;
+
+    @Option(names = "--name", required = true)
+    private String name;
+
+    @Option(names = "--ttl-ms", defaultValue = "1500")
+    private int ttlMs;
+
+    @Option(names = "--clock-permille", defaultValue = "1000")
+    private int clock;
+
+    @Option(names = "--seed", defaultValue = "1")
+    private long seed;
+
+    @Override
+    public Integer call() throws Exception {
+        Random drawn = new Random(seed);
+        Ticker ticker = () -> (long) (System.nanoTime() * (clock / 1000.0));
+        LeaseClient leases = new LeaseClient(new GroupClient(places, ticker), new GroupClient(places, ticker),
+            ticker, name);
+        while (true) {
+            try (LeaseClient.Lease lease = leases.acquire("job", Duration.ofMillis(ttlMs),
+                    Duration.ofSeconds(5), drawn.nextInt(3), () -> { });
+                    Socket socket = new Socket("127.0.0.1", witness)) {
+                socket.setTcpNoDelay(true);
+                act(socket, lease, 10 + drawn.nextInt(150), drawn);
+            } catch (LeaseClient.NotGranted | LeaseClient.Lost | IOException again) {
+                System.out.println(again.getMessage());
+            }
+        }
+    }
+
+    private void act(Socket socket, LeaseClient.Lease lease, int times, Random drawn)
+            throws IOException, LeaseClient.Lost, InterruptedException {
+        BufferedReader in = new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        for (int i = 0; i < times; i++) {
+            lease.checkStillHeld();
+            socket.getOutputStream().write((name + "-" + ProcessHandle.current().pid() + " " + lease.fence()
+                + "\n").getBytes(StandardCharsets.US_ASCII));
+            if (!"ok".equals(in.readLine())) {
+                System.out.println("refused by its fence: " + lease.fence());
+                return;
+            }
+            Thread.sleep(2 + drawn.nextInt(12));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/package-info.java
@@ -0,0 +1,2 @@
+/** Trials: real processes with faults between them, judged only by what a witness outside saw. */
+package saltstage.lab.trial;
