Discovery: bytes that trickle do not keep a silent watch alive; indented lists are heard

Seen: DiscoveryClient.watch gave each read 3 s, so one byte now and then kept a watch that told nothing for ever; a list over several lines was refused at its first line, and the watch with it.

Change: DeadlineInput bounds the time to the next list or empty line, not to the next byte; ObjectSplitter takes the stream apart by objects. Half an object and lines within it are no sign of life. What has arrived is still read.

--- a/relay/src/main/java/saltstage/wire/DiscoveryClient.java
+++ b/relay/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -10,7 +10,10 @@
 import java.time.Duration;
 import java.util.Locale;
 
-/** Discovery's watch over HTTP/1.1: one call, a chunked answer of one JSON object a line. */
+/**
+ * Discovery's watch over HTTP/1.1: one call, a chunked answer of JSON objects, an empty line now and then
+ * between them. A watch that brings neither for a while is broken, whatever else it sends.
+ */
 public final class DiscoveryClient {
     /** An empty line comes every 2 s; told counts as told after 6 s: silence must be noticed between. */
     private static final Duration SILENCE = Duration.ofSeconds(3);
@@ -68,28 +71,23 @@
     public void watch(long after, Listener listener) throws IOException, MalformedException {
         try (Socket socket = begin()) {
             socket.connect(address, (int) CONNECT.toMillis());
-            socket.setSoTimeout((int) patience.toMillis());
             String request = "GET /discovery/hosts?watch=1&after=" + after + " HTTP/1.1\r\nHost: "
                 + address.getAddress().getHostAddress() + ":" + address.getPort()
                 + "\r\nAccept: application/json\r\n\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            InputStream in = new BufferedInputStream(socket.getInputStream(), 4096);
+            DeadlineInput timed = new DeadlineInput(socket, patience);
+            InputStream in = new BufferedInputStream(timed, 4096);
             awaitHead(in);
-            socket.setSoTimeout((int) silence.toMillis());
+            timed.until(silence);
             ChunkedInput body = new ChunkedInput(in);
-            StringBuilder line = new StringBuilder();
+            ObjectSplitter objects = new ObjectSplitter(MOST_LINE);
             for (int c = body.read(); c >= 0; c = body.read()) {
-                if (c != '\n') {
-                    line.append((char) c);
-                    if (line.length() > MOST_LINE) {
-                        throw new MalformedException("discovery: line too long");
-                    }
-                    continue;
+                String object = objects.take((char) c);
+                if (object != null) {
+                    listener.heard(HostList.of(Json.object(object)));
                 }
-                String text = line.toString().trim();
-                line.setLength(0);
-                if (!text.isEmpty()) {
-                    listener.heard(HostList.of(Json.object(text)));
+                if (objects.between() && c == '\n') { // half an object, or a line in it, is no sign of life
+                    timed.until(silence);
                 }
             }
             throw new IOException("discovery ended the watch");
