Windows: maintenance across regions that leaves every floor, and agents that carry it out

Need: overlapping drains in several regions must never breach what the fleet has agreed to keep.

Change: package window, free of I/O: floors over sets of regions with forecast by hour, black-outs in local time, spacing, order, never together, splitting, emergencies, outages; capacity counts as out from the moment a drain may begin until its return is proven. Planner on a slot table, exact for five, bounded beyond; a plan is moved only with the reason said. Agents act under their region's lease and its fence, each step recorded before the next. A client's command has every field, and a fault in one does not end the replicas.

Seen by a drawn play before it landed: one outage turned back every drain, since what was returning still counted as out; what is on its way back is now counted against the shortfall.

--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/agent/Calls.java
@@ -0,0 +1,41 @@
+package saltstage.coordinator.agent;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/** Calls to relays, as operators make them, and looks at nodes, as relays take them. */
+final class Calls {
+    private static final Duration PATIENCE = Duration.ofMillis(1_500);
+
+    private Calls() {
+    }
+
+    /** One line there, one line back; null where none came in time. */
+    private static String ask(InetSocketAddress at, String line) {
+        try (Socket socket = new Socket()) {
+            socket.connect(at, (int) PATIENCE.toMillis());
+            socket.setSoTimeout((int) PATIENCE.toMillis());
+            socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.US_ASCII)).readLine();
+        } catch (IOException silent) {
+            return null;
+        }
+    }
+
+    /** Whether a relay has said that nothing more goes to a node, or that it is used again. */
+    static boolean done(InetSocketAddress relay, boolean suspend, String node) {
+        String answer = ask(relay, (suspend ? "SUSPEND " : "RESTORE ") + node);
+        return answer != null && answer.startsWith("done");
+    }
+
+    /** Whether a node answers. */
+    static boolean answers(InetSocketAddress node) {
+        return "PONG".equals(ask(node, "PING"));
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
@@ -221,6 +221,11 @@
         }
     }
 
+    /** Under which name the group knows this owner. */
+    public String owner() {
+        return owner;
+    }
+
     /** Gives back all that is held. */
     @Override
     public void close() {
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
@@ -0,0 +1,231 @@
+package saltstage.coordinator.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+import saltstage.coordinator.settings.FleetSettings;
+import saltstage.coordinator.window.Window;
+import saltstage.coordinator.window.WindowCommands;
+import saltstage.coordinator.window.WindowReplies;
+import saltstage.coordinator.window.Wish;
+
+/** Maintenance windows. */
+@CommandLine.Command(name = "window", description = "Maintenance windows across regions.",
+    mixinStandardHelpOptions = true, subcommands = {WindowCommand.Agree.class, WindowCommand.Propose.class,
+        WindowCommand.Show.class, WindowCommand.Withdraw.class, WindowCommand.Pause.class,
+        WindowCommand.Timeline.class})
+final class WindowCommand {
+    private WindowCommand() {
+    }
+
+    private static String line(Window window) {
+        return String.format("%d %s %s %s: %s for %s, by %s%s; %s", window.id(), window.state(),
+            window.wish().region(), window.wish().nodes(), window.start() == 0 ? "no time yet"
+            : Instant.ofEpochMilli(window.start()), Duration.ofMillis(window.wish().lasts()),
+            window.wish().by(), window.begun() == 0 ? "" : ", begun " + Instant.ofEpochMilli(window.begun()),
+            window.why());
+    }
+
+    /** Sends a command and prints what came of it; 1 where it was refused. */
+    private static int say(Group group, Command command) throws Exception {
+        Reply reply = group.client().send(command, group.within()).reply();
+        if (reply instanceof Refused no) {
+            if (group.json()) {
+                System.out.println(Codec.json().writeValueAsString(no));
+            }
+            System.err.println("saltstage: " + no.why());
+            return 1;
+        }
+        if (reply instanceof WindowReplies.Planned planned) {
+            group.print(planned, String.join("\n", planned.windows().stream().map(WindowCommand::line)
+                .toList()) + (planned.known() ? "\nit was asked for before" : ""));
+        } else {
+            group.print(reply, reply instanceof WindowReplies.Now now ? line(now.window()) : "done");
+        }
+        return 0;
+    }
+
+    /** The agreement. */
+    @CommandLine.Command(name = "agree", mixinStandardHelpOptions = true,
+        description = "Puts the block 'fleet' of a file in force: regions, nodes, floors, black-outs.")
+    static final class Agree implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            return say(group, new WindowCommands.SetFleet(FleetSettings.read(file, Instant.now()),
+                System.getProperty("user.name")));
+        }
+    }
+
+    /** A wish. */
+    @CommandLine.Command(name = "propose", description = "Asks for a window.",
+        mixinStandardHelpOptions = true)
+    static final class Propose implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(index = "0", paramLabel = "REGION")
+        private String region;
+
+        @Parameters(index = "1..*", arity = "1..*", paramLabel = "NODE")
+        private List<String> nodes;
+
+        @Option(names = "--purpose", required = true, description = "what for")
+        private String purpose;
+
+        @Option(names = "--by", description = "who asks (default: the user's name)")
+        private String by = System.getProperty("user.name");
+
+        @Option(names = "--drain", converter = Group.Span.class, defaultValue = "2m")
+        private Duration drain;
+
+        @Option(names = "--work", converter = Group.Span.class, defaultValue = "30m")
+        private Duration work;
+
+        @Option(names = "--warm", converter = Group.Span.class, defaultValue = "1m")
+        private Duration warm;
+
+        @Option(names = "--earliest", description = "as 2026-12-02T22:00:00Z (default: now)")
+        private Instant earliest;
+
+        @Option(names = "--latest", description = "over by then (default: a week from now)")
+        private Instant latest;
+
+        @Option(names = "--priority", defaultValue = "0")
+        private int priority;
+
+        @Option(names = "--emergency", description = "goes before planned ones; never under a floor")
+        private boolean emergency;
+
+        @Option(names = "--split", description = "the nodes may go in several windows")
+        private boolean split;
+
+        @Option(names = "--after", split = ",", description = "numbers of windows that must be over before")
+        private List<Long> after = List.of();
+
+        @Option(names = "--apart", split = ",", description = "words: never together with one that has them")
+        private List<String> apart = List.of();
+
+        @Override
+        public Integer call() throws Exception {
+            Instant from = earliest == null ? Instant.now() : earliest;
+            Instant to = latest == null ? from.plus(Duration.ofDays(7)) : latest;
+            return say(group, new WindowCommands.Propose(new Wish(region, nodes, drain.toMillis(),
+                work.toMillis(), warm.toMillis(), from.toEpochMilli(), to.toEpochMilli(), priority, emergency,
+                split, after, apart, by, purpose)));
+        }
+    }
+
+    /** All, or one. */
+    @CommandLine.Command(name = "list", aliases = {"show", "explain"}, mixinStandardHelpOptions = true,
+        description = "Shows windows, each with why it is where it is.")
+    static final class Show implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(arity = "0..1", paramLabel = "NUMBER")
+        private Long id;
+
+        @Override
+        public Integer call() throws Exception {
+            JsonNode read = group.client().get("/v1/windows", group.within());
+            boolean found = id == null;
+            for (JsonNode row : read.path("windows")) {
+                Window window = Codec.json().treeToValue(row, Window.class);
+                if (id == null || window.id() == id) {
+                    group.print(window, line(window));
+                    found = true;
+                }
+            }
+            if (!found) {
+                System.err.println("saltstage: no window " + id);
+            }
+            return found ? 0 : 1;
+        }
+    }
+
+    /** Not wanted any more. */
+    @CommandLine.Command(name = "withdraw", description = "Withdraws a window; turns a drain back.",
+        mixinStandardHelpOptions = true)
+    static final class Withdraw implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(paramLabel = "NUMBER")
+        private long id;
+
+        @Override
+        public Integer call() throws Exception {
+            return say(group, new WindowCommands.Withdraw(id, System.getProperty("user.name")));
+        }
+    }
+
+    /** Held back. */
+    @CommandLine.Command(name = "pause", description = "Holds a window back that has not begun.",
+        mixinStandardHelpOptions = true)
+    static final class Pause implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(paramLabel = "NUMBER")
+        private long id;
+
+        @Option(names = "--off", description = "lets it go on")
+        private boolean off;
+
+        @Override
+        public Integer call() throws Exception {
+            return say(group, new WindowCommands.Pause(id, !off, System.getProperty("user.name")));
+        }
+    }
+
+    /** Capacity over time. */
+    @CommandLine.Command(name = "timeline", description = "Capacity against each floor, from now on.",
+        mixinStandardHelpOptions = true)
+    static final class Timeline implements Callable<Integer> {
+        private static final int WIDTH = 40;
+
+        @CommandLine.Mixin
+        private Group group;
+
+        @Option(names = "--for", converter = Group.Span.class, defaultValue = "24h")
+        private Duration span;
+
+        @Override
+        public Integer call() throws Exception {
+            long now = System.currentTimeMillis();
+            JsonNode read = group.client().get("/v1/levels?most=48&from=" + now + "&to="
+                + (now + span.toMillis()), group.within());
+            if (group.json()) {
+                System.out.println(read);
+                return 0;
+            }
+            for (JsonNode level : read) {
+                long there = level.path("capacity").asLong() + level.path("missing").asLong();
+                int filled = (int) (WIDTH * level.path("capacity").asLong() / Math.max(1, there));
+                int floor = (int) Math.min(WIDTH, WIDTH * level.path("need").asLong() / Math.max(1, there));
+                StringBuilder bar = new StringBuilder("#".repeat(filled) + ".".repeat(WIDTH - filled));
+                bar.insert(floor, '|');
+                System.out.printf("%-12s %s %s %d of %d, floor %d%n", level.path("floor").asText(),
+                    Instant.ofEpochMilli(level.path("at").asLong()), bar,
+                    level.path("capacity").asLong() / 1000, there / 1000, level.path("need").asLong() / 1000);
+            }
+            return 0;
+        }
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/front/Front.java
+++ b/coordinator/src/main/java/saltstage/coordinator/front/Front.java
@@ -22,6 +22,8 @@
 import saltstage.coordinator.model.Command;
 import saltstage.coordinator.model.Reply;
 import saltstage.coordinator.replica.Replica;
+import saltstage.coordinator.window.FleetPlan;
+import saltstage.coordinator.window.Window;
 
 /**
  * What clients can ask of a replica, without the sockets: a request's method, path and body in, an answer
@@ -34,6 +36,7 @@
     private static final long ANSWER_MS = 5_000;
     private static final int BUSY_MS = 200;
     private static final int MOST_ROWS = 10_000;
+    private static final long MOST_TIME = 4_102_444_800_000L;
 
     /** An answer: HTTP's status and a value that becomes JSON, or bytes as they are. */
     record Answer(int status, Object body) {
@@ -104,6 +107,9 @@
             case "POST /v1/do" -> command(body(request));
             case "GET /v1/leases" -> leases(uri.parameters());
             case "GET /v1/lease" -> lease(uri.parameters());
+            case "GET /v1/windows" -> replica.read(state -> new Plans(state.windows().plan(),
+                state.windows().all(), state.time().day()), false).thenApply(read -> new Answer(200, read));
+            case "GET /v1/levels" -> levels(uri.parameters());
             case "GET /v1/status" -> replica.status().thenApply(status -> new Answer(200, status));
             case "POST /v1/join" -> join(body(request));
             case "POST /v1/leave" -> replica.leave(text(body(request), "name"))
@@ -157,7 +163,7 @@
         }
         Command command;
         try {
-            command = Codec.json().treeToValue(body.get("command"), Command.class);
+            command = Codec.command(body.path("command"));
         } catch (JsonProcessingException bad) {
             throw new BadRequest("'command': " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
         }
@@ -213,6 +219,18 @@
             stale), stale).thenApply(read -> new Answer(200, read));
     }
 
+    /** The windows, what they are planned by, and the group's time of day. */
+    record Plans(FleetPlan plan, List<Window> windows, long day) {
+    }
+
+    private CompletableFuture<Answer> levels(Map<String, List<String>> parameters) {
+        long from = whole(parameters, "from", 0, MOST_TIME);
+        long to = whole(parameters, "to", from, MOST_TIME);
+        int most = (int) whole(parameters, "most", 200, MOST_ROWS);
+        return replica.read(state -> state.windows().levels(from == 0 ? state.time().day() : from, to, most,
+            state.time().day()), false).thenApply(read -> new Answer(200, read));
+    }
+
     private CompletableFuture<Answer> lease(Map<String, List<String>> parameters) {
         String name = parameters.getOrDefault("name", List.of("")).get(0);
         long after = whole(parameters, "after", 0, Long.MAX_VALUE >> 12);
--- a/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -1,8 +1,11 @@
 package saltstage.coordinator.group;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.cfg.MapperBuilder;
@@ -11,6 +14,7 @@
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.LeaseReplies;
@@ -18,6 +22,8 @@
 import saltstage.coordinator.model.Done;
 import saltstage.coordinator.model.Refused;
 import saltstage.coordinator.model.Reply;
+import saltstage.coordinator.window.WindowCommands;
+import saltstage.coordinator.window.WindowReplies;
 
 /**
  * Commands, replies and snapshots as bytes: CBOR in the log, JSON towards clients, with the same names. A
@@ -38,6 +44,15 @@
         COMMANDS.put("introduce", GroupCommands.Introduce.class);
         COMMANDS.put("forget", GroupCommands.Forget.class);
         COMMANDS.put("skip-fences", GroupCommands.SkipFences.class);
+        COMMANDS.put("set-fleet", WindowCommands.SetFleet.class);
+        COMMANDS.put("propose", WindowCommands.Propose.class);
+        COMMANDS.put("withdraw", WindowCommands.Withdraw.class);
+        COMMANDS.put("pause", WindowCommands.Pause.class);
+        COMMANDS.put("begin", WindowCommands.Begin.class);
+        COMMANDS.put("report", WindowCommands.Report.class);
+        COMMANDS.put("outage", WindowCommands.Outage.class);
+        REPLIES.put("planned", WindowReplies.Planned.class);
+        REPLIES.put("window", WindowReplies.Now.class);
         REPLIES.put("done", Done.class);
         REPLIES.put("refused", Refused.class);
         REPLIES.put("granted", LeaseReplies.Granted.class);
@@ -60,6 +75,11 @@
     private interface Resulting {
     }
 
+    private static final ObjectMapper STRICT = prepared(JsonMapper.builder()
+        .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+        .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+        .withConfigOverride(List.class, c -> c.setSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL)))
+        .withConfigOverride(Map.class, c -> c.setSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL))));
     private static final ObjectMapper CBOR = prepared(CBORMapper.builder());
     private static final ObjectMapper JSON = prepared(JsonMapper.builder());
 
@@ -81,6 +101,11 @@
         return JSON;
     }
 
+    /** A client's command: every field is there, and nothing is null. */
+    public static Command command(JsonNode from) throws JsonProcessingException {
+        return STRICT.treeToValue(from, Command.class);
+    }
+
     /** The mapper of what replicas keep and say to each other. */
     public static ObjectMapper cbor() {
         return CBOR;
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -1,5 +1,6 @@
 package saltstage.coordinator.group;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,8 @@
 import saltstage.coordinator.model.Done;
 import saltstage.coordinator.model.Refused;
 import saltstage.coordinator.model.Reply;
+import saltstage.coordinator.window.WindowCommands;
+import saltstage.coordinator.window.Windows;
 
 /**
  * All that a group keeps, and the one place where a command becomes a change of it. The same log gives the
@@ -17,15 +20,16 @@
  */
 public final class GroupState {
     /** The highest feature level that this build knows. */
-    public static final int SPEAKS = 1;
+    public static final int SPEAKS = 2;
 
     /** Where a member is, and the disk that its log is on. */
     public record MemberRow(String disk, String peers, String clients, int speaks) {
     }
 
-    /** What a snapshot keeps. */
+    /** What a snapshot keeps; what is null is not written. */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
     public record Image(int level, GroupTime.Image time, List<Sessions.Row> sessions, Leases.Image leases,
-            Map<String, MemberRow> members) {
+            Map<String, MemberRow> members, Windows.Image windows) {
     }
 
     private int level;
@@ -33,10 +37,12 @@
     private final Sessions sessions;
     private final Leases leases;
     private final Map<String, MemberRow> members;
+    private final Windows windows;
 
     /** A new group. */
     public GroupState() {
-        this(new Image(1, GroupTime.zero().image(), List.of(), new Leases().image(), Map.of()));
+        this(new Image(1, GroupTime.zero().image(), List.of(), new Leases().image(), Map.of(),
+            new Windows().image()));
     }
 
     /** As a snapshot has it. */
@@ -46,17 +52,21 @@
         sessions = new Sessions(image.sessions());
         leases = new Leases(image.leases());
         members = new TreeMap<>(image.members());
+        windows = image.windows() == null ? new Windows() : new Windows(image.windows());
     }
 
     /** What a snapshot keeps; equal states give equal images. */
     public Image image() {
-        return new Image(level, time.image(), sessions.image(), leases.image(), new TreeMap<>(members));
+        // A group that still works at level 1 has replicas that know no windows, and take no field more.
+        return new Image(level, time.image(), sessions.image(), leases.image(),
+            new TreeMap<>(members), level < WindowCommands.SINCE ? null : windows.image());
     }
 
     /** Carries one entry of the log out. */
     public Reply apply(Proposal entry) {
         time.stamped(entry.epoch(), entry.stampMs());
         leases.advance(time.now());
+        windows.advance(time.day());
         if (entry.client().isEmpty()) {
             return carryOut(entry.command());
         }
@@ -64,7 +74,13 @@
         if (known != null) {
             return known;
         }
-        Reply reply = carryOut(entry.command());
+        Reply reply;
+        try {
+            reply = carryOut(entry.command());
+        } catch (RuntimeException fault) { // the same at every replica; one bad command must not end them all
+            reply = new Refused("fault", "the command could not be carried out: "
+                + fault.getClass().getSimpleName(), 0);
+        }
         sessions.keep(entry.client(), entry.seq(), reply, time.now());
         return reply;
     }
@@ -83,7 +99,44 @@
         if (command instanceof LeaseCommands.Release ask) {
             return new Done(leases.release(ask, time.now()) ? "released" : "not-held");
         }
-        return ownBusiness(command);
+        return command.since() == WindowCommands.SINCE ? window(command) : ownBusiness(command);
+    }
+
+    private Reply window(Command command) {
+        long day = time.day();
+        if (command instanceof WindowCommands.SetFleet ask) {
+            return windows.set(ask.plan(), day);
+        }
+        if (command instanceof WindowCommands.Propose ask) {
+            return windows.propose(ask.wish(), day);
+        }
+        if (command instanceof WindowCommands.Withdraw ask) {
+            return windows.withdraw(ask.id(), ask.by(), day);
+        }
+        if (command instanceof WindowCommands.Pause ask) {
+            return windows.pause(ask.id(), ask.on(), ask.by(), day);
+        }
+        if (command instanceof WindowCommands.Begin ask) {
+            Refused old = fenced(region(ask.id()), ask.owner(), ask.fence());
+            return old != null ? old : windows.begin(ask.id(), day);
+        }
+        if (command instanceof WindowCommands.Report ask) {
+            Refused old = fenced(region(ask.id()), ask.owner(), ask.fence());
+            return old != null ? old : windows.report(ask.id(), ask.step(), ask.proven(), day);
+        }
+        WindowCommands.Outage ask = (WindowCommands.Outage) command;
+        Refused old = fenced(ask.region(), ask.owner(), ask.fence());
+        return old != null ? old : windows.outage(ask.region(), ask.lost(), day);
+    }
+
+    private String region(long window) {
+        return windows.find(window) == null ? "" : windows.find(window).wish().region();
+    }
+
+    /** Only the agent that holds a region's lease now speaks for it. */
+    private Refused fenced(String region, String owner, long fence) {
+        return leases.holds(WindowCommands.lease(region), owner, fence, time.now()) ? null
+            : new Refused("fenced", "the lease " + WindowCommands.lease(region) + " is not held so", 0);
     }
 
     private Reply ownBusiness(Command command) {
@@ -142,6 +195,11 @@
         return leases;
     }
 
+    /** Its maintenance windows. */
+    public Windows windows() {
+        return windows;
+    }
+
     /** Its members, by name. */
     public Map<String, MemberRow> members() {
         return members;
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -205,7 +205,8 @@
         level = machine.state().level();
         links.keepOnly(names());
         long now = System.nanoTime();
-        boolean timed = machine.state().leases().nextDue() != Long.MAX_VALUE;
+        boolean timed = machine.state().leases().nextDue() != Long.MAX_VALUE
+            || machine.state().windows().alive();
         if (leads() && now - lastTick >= (timed ? LOOK : QUIET_TICK).toNanos() - LOOK.toNanos() / 2) {
             lastTick = now;
             tick(now);
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/AgentSettings.java
@@ -0,0 +1,66 @@
+package saltstage.coordinator.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltstage.config.HclBlock;
+import saltstage.config.HclFile;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/**
+ * A region's agent: the relays that it calls, where its nodes are looked at, and what is run while nodes are
+ * out (nothing: they are only kept out for the time).
+ */
+public record AgentSettings(String region, Map<String, InetSocketAddress> relays,
+        Map<String, InetSocketAddress> nodes, List<String> work) {
+    /** Reads the block {@code agent} of a file. */
+    public static AgentSettings read(Path file) throws MalformedException {
+        try {
+            return of(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw new MalformedException("settings: cannot read " + file);
+        }
+    }
+
+    /** Takes the text of a file that errors shall call by this name. */
+    public static AgentSettings of(String name, String text) throws MalformedException {
+        HclBlock top = HclFile.parse(name, text);
+        List<HclBlock> agents = top.all("agent");
+        if (agents.size() != 1 || agents.get(0).labels().size() != 1) {
+            throw new MalformedException(name + ": takes one block 'agent' with one label, its region");
+        }
+        HclBlock agent = agents.get(0);
+        AgentSettings read = new AgentSettings(agent.labels().get(0), places(agent, "relay", "admin"),
+            places(agent, "node", "at"), agent.texts("work"));
+        agent.finish();
+        top.finish();
+        if (read.relays().isEmpty() || read.nodes().isEmpty()) {
+            throw agent.complaint("names no 'relay' or no 'node'");
+        }
+        return read;
+    }
+
+    private static Map<String, InetSocketAddress> places(HclBlock in, String type, String attribute)
+            throws MalformedException {
+        Map<String, InetSocketAddress> places = new LinkedHashMap<>();
+        for (HclBlock block : in.all(type)) {
+            String text = block.need(attribute);
+            try {
+                if (block.labels().size() != 1
+                        || places.put(block.labels().get(0), HostList.address(text)) != null) {
+                    throw block.complaint("takes one label, a name of its own");
+                }
+            } catch (MalformedException bad) {
+                throw bad.getMessage().equals("bad address")
+                    ? block.wrong(attribute, "an address in figures with a port") : bad;
+            }
+            block.finish();
+        }
+        return places;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/FleetSettings.java
@@ -0,0 +1,144 @@
+package saltstage.coordinator.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.zone.ZoneOffsetTransition;
+import java.time.zone.ZoneRules;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import saltstage.config.HclBlock;
+import saltstage.config.HclFile;
+import saltstage.coordinator.window.FleetPlan;
+import saltstage.wire.MalformedException;
+
+/** What operators have agreed about the fleet, from the block {@code fleet} of a settings file. */
+public final class FleetSettings {
+    private static final List<String> DAYS = List.of("mon", "tue", "wed", "thu", "fri", "sat", "sun");
+    private static final Pattern TIME = Pattern.compile("([01]?\\d|2[0-4]):([0-5]\\d)");
+    private static final long UNIT = 1_000; // a mean connection load, in thousandths
+    private static final long MOST_LOADS = 10_000_000;
+    /** So far ahead changes of the clocks are written into the plan; it is set anew long before. */
+    private static final Duration AHEAD = Duration.ofDays(800);
+
+    private FleetSettings() {
+    }
+
+    /** Reads the plan; the changes of clocks from this moment on are taken from this machine's tables. */
+    public static FleetPlan read(Path file, Instant now) throws MalformedException {
+        try {
+            return of(file.toString(), Files.readString(file), now);
+        } catch (IOException e) {
+            throw new MalformedException("settings: cannot read " + file);
+        }
+    }
+
+    /** Takes the text of a file that errors shall call by this name. */
+    public static FleetPlan of(String name, String text, Instant now) throws MalformedException {
+        HclBlock top = HclFile.parse(name, text);
+        HclBlock fleet = top.one("fleet");
+        if (fleet == null) {
+            throw new MalformedException(name + ": no block 'fleet'");
+        }
+        Map<String, List<FleetPlan.Shift>> zones = new TreeMap<>();
+        List<FleetPlan.Region> regions = new ArrayList<>();
+        for (HclBlock block : fleet.all("region")) {
+            regions.add(region(block, zones, now));
+        }
+        List<FleetPlan.Floor> floors = new ArrayList<>();
+        for (HclBlock block : fleet.all("floor")) {
+            floors.add(floor(block, zones, now));
+        }
+        FleetPlan plan = new FleetPlan(
+            fleet.span("slot", Duration.ofMinutes(5), Duration.ofMillis(100), Duration.ofHours(1)).toMillis(),
+            zones, regions, floors, (int) fleet.whole("most_regions", 1, 1, 1_000),
+            fleet.span("spacing", Duration.ZERO, Duration.ZERO, Duration.ofDays(30)).toMillis(),
+            10 * (int) fleet.whole("cold_percent", 31, 0, 100));
+        fleet.finish();
+        return plan;
+    }
+
+    private static String label(HclBlock block) throws MalformedException {
+        if (block.labels().size() != 1) {
+            throw block.complaint("takes one label, its name");
+        }
+        return block.labels().get(0);
+    }
+
+    private static FleetPlan.Region region(HclBlock block, Map<String, List<FleetPlan.Shift>> zones,
+            Instant now) throws MalformedException {
+        List<FleetPlan.Node> nodes = new ArrayList<>();
+        for (HclBlock node : block.all("node")) {
+            nodes.add(new FleetPlan.Node(label(node), UNIT * node.whole("capacity", 0, 1, MOST_LOADS)));
+            node.finish();
+        }
+        if (nodes.stream().anyMatch(node -> node.capacity() == 0)) {
+            throw block.complaint("each 'node' takes a 'capacity' in mean connection loads");
+        }
+        List<FleetPlan.BlackOut> blackOuts = new ArrayList<>();
+        for (HclBlock out : block.all("black_out")) {
+            List<Integer> days = new ArrayList<>();
+            for (String day : out.texts("days")) {
+                if (!DAYS.contains(day)) {
+                    throw out.wrong("days", "a list of " + DAYS);
+                }
+                days.add(1 + DAYS.indexOf(day));
+            }
+            blackOuts.add(new FleetPlan.BlackOut(days.isEmpty() ? List.of(1, 2, 3, 4, 5, 6, 7) : days,
+                minute(out, "from"), minute(out, "to")));
+            out.finish();
+        }
+        String zone = zone(block, zones, now);
+        FleetPlan.Region region = new FleetPlan.Region(label(block), zone, nodes, blackOuts);
+        block.finish();
+        return region;
+    }
+
+    private static int minute(HclBlock block, String name) throws MalformedException {
+        Matcher time = TIME.matcher(block.need(name));
+        if (!time.matches()) {
+            throw block.wrong(name, "a time of day such as \"17:30\"");
+        }
+        return Math.min(1_440, 60 * Integer.parseInt(time.group(1)) + Integer.parseInt(time.group(2)));
+    }
+
+    private static FleetPlan.Floor floor(HclBlock block, Map<String, List<FleetPlan.Shift>> zones,
+            Instant now) throws MalformedException {
+        List<Long> demand = block.wholes("demand", 0, MOST_LOADS).stream().map(d -> d * UNIT).toList();
+        FleetPlan.Floor floor = new FleetPlan.Floor(label(block), block.texts("regions"),
+            UNIT * block.whole("least", 0, 0, MOST_LOADS), demand, zone(block, zones, now));
+        if (floor.regions().isEmpty() || !demand.isEmpty() && demand.size() != 24) {
+            throw block.complaint("takes 'regions', and 'demand' as 24 figures, one an hour, if at all");
+        }
+        block.finish();
+        return floor;
+    }
+
+    private static String zone(HclBlock block, Map<String, List<FleetPlan.Shift>> zones, Instant now)
+            throws MalformedException {
+        String name = block.text("zone", "UTC");
+        if (!ZoneId.getAvailableZoneIds().contains(name)) {
+            throw block.wrong("zone", "a time zone such as \"Asia/Tokyo\"");
+        }
+        zones.computeIfAbsent(name, any -> {
+            ZoneRules rules = ZoneId.of(name).getRules();
+            List<FleetPlan.Shift> shifts = new ArrayList<>();
+            shifts.add(new FleetPlan.Shift(0, rules.getOffset(now).getTotalSeconds() * 1_000L));
+            ZoneOffsetTransition next = rules.nextTransition(now);
+            while (next != null && next.getInstant().isBefore(now.plus(AHEAD))) {
+                shifts.add(new FleetPlan.Shift(next.getInstant().toEpochMilli(),
+                    next.getOffsetAfter().getTotalSeconds() * 1_000L));
+                next = rules.nextTransition(next.getInstant());
+            }
+            return shifts;
+        });
+        return name;
+    }
+}
--- a/relay/src/main/java/saltstage/config/HclBlock.java
+++ b/relay/src/main/java/saltstage/config/HclBlock.java
@@ -121,6 +121,35 @@
         return d.longValue();
     }
 
+    /** A list of texts; none where it is absent. */
+    public List<String> texts(String name) throws MalformedException {
+        Given given = take(name);
+        List<String> texts = new ArrayList<>();
+        for (Object item : given == null ? List.of() : given.value() instanceof List<?> items ? items
+                : List.of(0.0)) {
+            if (!(item instanceof String text) || text.isBlank()) {
+                throw at(given.line(), "'" + name + "' takes a list of texts");
+            }
+            texts.add(text);
+        }
+        return texts;
+    }
+
+    /** A list of whole numbers within bounds; none where it is absent. */
+    public List<Long> wholes(String name, long least, long most) throws MalformedException {
+        Given given = take(name);
+        List<Long> numbers = new ArrayList<>();
+        for (Object item : given == null ? List.of() : given.value() instanceof List<?> items ? items
+                : List.of("")) {
+            if (!(item instanceof Double d) || d != Math.rint(d) || d < least || d > most) {
+                throw at(given.line(), "'" + name + "' takes a list of whole numbers from " + least + " to "
+                    + most);
+            }
+            numbers.add(d.longValue());
+        }
+        return numbers;
+    }
+
     /** Yes or no. */
     public boolean flag(String name, boolean absent) throws MalformedException {
         Given given = take(name);
