Coordinator: the leader introduces peers that said who they are before anybody led

Seen: in the first trial of windows on real processes the group never left level 1. Replica.hello introduced a peer only if this replica led at that moment; peers say hello when their links come up, before the first election, so no follower was ever known to the group: no level, no check of its disk.

Change: the hellos are kept, and a leader introduces whoever the group does not know at each of its ticks. The trial of windows: for each step of a window and each fault (leader killed, agent killed, agent paused beyond its lease, relay away, a node dead elsewhere), judged by what stand-in relays and nodes had.

--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -68,6 +68,7 @@
     private final Store store;
     private final String process = Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
     private final Map<String, Beat> beats = new ConcurrentHashMap<>();
+    private final Map<String, PeerLinks.Hello> hellos = new ConcurrentHashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private volatile Map<String, GroupState.MemberRow> known = Map.of();
     private volatile int level;
@@ -155,15 +156,18 @@
         if (who.speaks() < level) {
             return "its build knows level " + who.speaks() + ", the group works at " + level;
         }
-        thread.execute(() -> introduce(who));
+        hellos.put(who.from(), who);
         return null;
     }
 
-    private void introduce(PeerLinks.Hello who) {
-        GroupState.MemberRow row = known.get(who.from());
-        if (leads() && names().contains(who.from()) && (row == null || !who.peers().equals(row.peers())
-            || !who.clients().equals(row.clients()))) {
-            own(new GroupCommands.Introduce(who.from(), who.disk(), who.peers(), who.clients()));
+    /** Peers have mostly said who they are before anybody led: the leader tells the group when it can. */
+    private void introduce() {
+        for (PeerLinks.Hello who : hellos.values()) {
+            GroupState.MemberRow row = known.get(who.from());
+            if (names().contains(who.from()) && (row == null || row.disk().equals(who.disk())
+                    && !(who.peers().equals(row.peers()) && who.clients().equals(row.clients())))) {
+                own(new GroupCommands.Introduce(who.from(), who.disk(), who.peers(), who.clients()));
+            }
         }
     }
 
@@ -209,6 +213,7 @@
             || machine.state().windows().alive();
         if (leads() && now - lastTick >= (timed ? LOOK : QUIET_TICK).toNanos() - LOOK.toNanos() / 2) {
             lastTick = now;
+            introduce();
             tick(now);
         }
     }
--- a/lab/src/main/java/saltstage/lab/trial/Proc.java
+++ b/lab/src/main/java/saltstage/lab/trial/Proc.java
@@ -70,6 +70,10 @@
         return paused;
     }
 
+    synchronized long pid() {
+        return process.pid();
+    }
+
     synchronized int exitCode() {
         return process.exitValue();
     }
--- a/lab/src/main/java/saltstage/lab/trial/TrialCommand.java
+++ b/lab/src/main/java/saltstage/lab/trial/TrialCommand.java
@@ -31,8 +31,35 @@
     @Option(names = "--keep", description = "keep the folder of each trial")
     private boolean keep;
 
+    @Option(names = "--windows", description = "the table of a window's steps and faults, each cell once")
+    private boolean windows;
+
+    private int table() throws Exception {
+        Path dir = Files.createTempDirectory("trial-windows-");
+        int failed = 0;
+        try (WindowTrial trial = new WindowTrial(dir, jars == null ? List.of(Proc.builtJar()) : jars)) {
+            for (String step : WindowTrial.STEPS) {
+                for (String fault : WindowTrial.FAULTS) {
+                    String came;
+                    try {
+                        came = "done after " + trial.play(step, fault) + " ms";
+                    } catch (java.io.IOException not) {
+                        came = not.getMessage();
+                        failed++;
+                    }
+                    System.out.printf("%-10s %-12s %s, least so far %d%n", step, fault, came, trial.least());
+                }
+            }
+            System.out.println("under the floor: " + trial.broken() + (failed > 0 ? ", in " + dir : ""));
+            return failed > 0 || !trial.broken().isEmpty() ? 1 : 0;
+        }
+    }
+
     @Override
     public Integer call() throws Exception {
+        if (windows) {
+            return table();
+        }
         String[] ends = seeds.split("\\.\\.");
         long first = Long.parseLong(ends[0]);
         long last = Long.parseLong(ends[ends.length - 1]);
