Group tests on real processes: wiped disks, minorities, restarts, held-back levels

Seen: a wiped replica was refused (78), but its name could not join anew: the engine takes no name twice ('already exists in the initial member list'). Names are used once now: a member that left leaves its name behind, from level 2 on, since replicas of level 1 apply that entry otherwise.

Change: GroupTest (six tests), join under a new name, tombstones for names, one line in place of two for a refused peer.

--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupCommands.java
@@ -35,7 +35,7 @@
         }
     }
 
-    /** This member has left: its name may be given to another disk. */
+    /** This member has left: its name is not used again. */
     public record Forget(String member) implements Command {
         @Override
         public int since() {
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -22,6 +22,9 @@
     /** The highest feature level that this build knows. */
     public static final int SPEAKS = 2;
 
+    /** The disk of a name that was given up: no disk has it. */
+    public static final String RETIRED = "retired";
+
     /** Where a member is, and the disk that its log is on. */
     public record MemberRow(String disk, String peers, String clients, int speaks) {
     }
@@ -150,14 +153,18 @@
         if (command instanceof GroupCommands.Introduce who) {
             MemberRow before = members.get(who.member());
             if (before != null && !before.disk().equals(who.disk())) {
-                return new Refused("other-disk", who.member() + " was on another disk: remove it first", 0);
+                return new Refused("other-disk", who.member() + " was on another disk", 0);
             }
             members.put(who.member(), new MemberRow(who.disk(), who.peers(), who.clients(),
                 before == null ? 0 : before.speaks()));
             return new Done("known");
         }
         if (command instanceof GroupCommands.Forget who) {
-            members.remove(who.member());
+            if (level >= 2) { // the engine takes no name twice; before level 2 replicas did not know that
+                members.put(who.member(), new MemberRow(RETIRED, null, null, 0));
+            } else {
+                members.remove(who.member());
+            }
             return new Done("forgotten");
         }
         if (command instanceof GroupCommands.SkipFences skip) {
--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -200,9 +200,13 @@
     /** A connection that a peer keeps to here. */
     private final class Inbound extends Frames {
         private String from;
+        private boolean refused;
 
         @Override
         void frame(Connection on, byte type, byte[] body) throws IOException {
+            if (refused) {
+                return; // it cannot have heard it yet
+            }
             if (from == null) {
                 if (type != HELLO) {
                     throw new IOException("a peer that does not say who it is");
@@ -210,6 +214,7 @@
                 Hello who = Codec.cbor().readValue(body, Hello.class);
                 String why = events.hello(who);
                 if (why != null) {
+                    refused = true;
                     Log.warn("peer.refused", "peer", who.from(), "why", why);
                     on.write(PeerLinks.frame(REFUSED, why.getBytes(StandardCharsets.UTF_8)));
                     on.close();
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -151,7 +151,7 @@
         GroupState.MemberRow row = known.get(who.from());
         if (row != null && !row.disk().equals(who.disk())) {
             return Identity.OTHER_DISK + ": " + who.from()
-                + " has kept its log elsewhere; remove the member, then let it join anew";
+                + " was on another disk; remove it, and let the new one join under a name of its own";
         }
         if (who.speaks() < level) {
             return "its build knows level " + who.speaks() + ", the group works at " + level;
@@ -296,7 +296,7 @@
         GroupState.MemberRow row = known.get(name);
         if (row != null && !row.disk().equals(disk)) {
             return CompletableFuture.failedFuture(new IllegalArgumentException(
-                Identity.OTHER_DISK + ": " + name + " is a member on another disk: remove it first"));
+                Identity.OTHER_DISK + ": the name " + name + " is taken, or was: join under one of its own"));
         }
         var members = node.getCommittedMembers();
         if (members.getVotingMembers().contains(member)) {
--- a/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
@@ -5,7 +5,9 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import saltstage.config.HclBlock;
 import saltstage.config.HclFile;
@@ -126,7 +128,11 @@
             clients.put(other, at.clients().getHostString() + ":" + at.clients().getPort());
         });
         reached.putAll(reach);
-        return new ReplicaSettings(group, name, members.keySet(), place.peers(), place.clients(), reached,
+        List<String> first = new ArrayList<>(members.keySet());
+        if (joining != null) { // it belongs to the group only once it was taken in
+            first.remove(name);
+        }
+        return new ReplicaSettings(group, name, first, place.peers(), place.clients(), reached,
             clients, otherDir == null ? dir.resolve(name) : otherDir, speed, snapshotEvery, mostPending,
             speaks, clockRate, () -> System.currentTimeMillis() + wallOff);
     }
--- a/lab/src/main/java/saltstage/lab/trial/GroupUnderTest.java
+++ b/lab/src/main/java/saltstage/lab/trial/GroupUnderTest.java
@@ -56,6 +56,19 @@
         }
     }
 
+    /** Other settings for one, from its next start on. */
+    public void more(String name, String more) throws IOException {
+        write(name, more);
+    }
+
+    /** A process that joins the group under a new name, on an address of its own. */
+    Proc joining(String name) {
+        String host = hosts.get(names.get(0)).replaceAll("[0-9]+$", "200");
+        return Proc.coordinator(name, Proc.builtJar(), dir, List.of("cluster", "serve", "--settings",
+            settings(names.get(0)).toString(), "--name", name, "--join",
+            host + ":" + PEERS + "," + host + ":" + CLIENTS));
+    }
+
     private void write(String name, String more) throws IOException {
         StringBuilder text = new StringBuilder("coordinator {\n  group = \"trial\"\n  dir = \""
             + dir.resolve("data") + "\"\n" + more);
--- a/lab/src/main/java/saltstage/lab/trial/LeaseTrial.java
+++ b/lab/src/main/java/saltstage/lab/trial/LeaseTrial.java
@@ -67,7 +67,7 @@
         Set<String> wasPaused = new HashSet<>();
         Map<String, Proc> holders = new LinkedHashMap<>();
         try (Witness witness = new Witness();
-                GroupUnderTest group = new GroupUnderTest(dir, replicas, jars, "")) {
+                GroupUnderTest group = new GroupUnderTest(dir, replicas, jars, "  snapshot_every = 100\n")) {
             group.start().leader(java.time.Duration.ofSeconds(20));
             for (int i = 1; i <= workers; i++) {
                 int clock = 1_000 + (int) (seed + i) % 3 * 8 - 8; // 0.992, 1.000 or 1.008 of the world's
--- /dev/null
+++ b/lab/src/test/java/saltstage/lab/trial/GroupTest.java
@@ -0,0 +1,171 @@
+package saltstage.lab.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.function.Executable;
+import org.junit.jupiter.api.io.TempDir;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.lease.LeaseCommands.Acquire;
+import saltstage.coordinator.lease.LeaseReplies.Granted;
+import saltstage.coordinator.lease.LeaseReplies.Held;
+import saltstage.coordinator.model.Reply;
+import saltstage.lab.Home;
+
+/** Groups of real processes that are killed, wiped, held back and cut off. */
+@Timeout(value = 4, unit = TimeUnit.MINUTES)
+class GroupTest {
+    private static final Duration CALL = Duration.ofSeconds(30);
+
+    @TempDir
+    Path dir;
+
+    private GroupUnderTest group(String more) throws IOException, InterruptedException {
+        GroupUnderTest group = new GroupUnderTest(dir, 3, List.of(Proc.builtJar()), more).start();
+        group.leader(CALL);
+        return group;
+    }
+
+    private static Reply acquire(GroupClient client, String owner, long ttlMs)
+            throws IOException, InterruptedException {
+        return client.send(new Acquire("x", owner, ttlMs, 0, false), CALL).reply();
+    }
+
+    private static JsonNode status(GroupUnderTest group, String name)
+            throws IOException, InterruptedException {
+        return new GroupClient(List.of(group.places().get(group.names().indexOf(name))), Ticker.SYSTEM)
+            .get("/v1/status", CALL);
+    }
+
+    /** Something that comes true, waited for far longer than it takes. */
+    private interface Condition {
+        boolean holds() throws IOException, InterruptedException;
+    }
+
+    private static void await(String what, Condition condition) throws IOException, InterruptedException {
+        long until = System.nanoTime() + CALL.toNanos();
+        while (!condition.holds()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(50);
+        }
+    }
+
+    @Test
+    void noTwoHoldersOverlapWhileFaultsBefallThem() throws Exception {
+        LeaseTrial trial = new LeaseTrial(dir, 3, 3, 7_000, List.of(Proc.builtJar()));
+        LeaseTrial.Verdict verdict = trial.play(5, trial.script(5));
+        assertEquals(List.of(), verdict.broken(), verdict.toString());
+        assertTrue(verdict.acts() > 0 && verdict.grants() > 0, verdict.toString());
+    }
+
+    @Test
+    void windowsOfTwoRegionsLeaveTheFloorWhileAgentAndLeaderAreKilled() throws Exception {
+        try (WindowTrial trial = new WindowTrial(dir, List.of(Proc.builtJar()))) {
+            trial.play("OUT", "kill-agent");
+            trial.play("DRAINING", "kill-leader");
+            assertEquals(List.of(), trial.broken());
+            assertTrue(trial.least() < 12_000, "something was out");
+        }
+    }
+
+    @Test
+    void leasesOutliveTheWholeGroupButAreNeverGivenTwice() throws Exception {
+        try (GroupUnderTest group = group("")) {
+            GroupClient client = group.client();
+            long fence = assertInstanceOf(Granted.class, acquire(client, "a", 4_000)).fence();
+            for (String name : group.names()) {
+                group.proc(name).kill();
+            }
+            for (String name : group.names()) {
+                group.proc(name).start();
+            }
+            assertInstanceOf(Held.class, acquire(client, "b", 4_000), "its time goes on, it is not over");
+            Reply[] later = new Reply[1];
+            await("its time comes to an end", () -> {
+                later[0] = acquire(client, "b", 4_000);
+                return later[0] instanceof Granted;
+            });
+            assertTrue(((Granted) later[0]).fence() > fence);
+        }
+    }
+
+    @Test
+    void minorityServesNothingAsCurrent() throws Exception {
+        try (GroupUnderTest group = group("")) {
+            String leader = group.leader(CALL);
+            for (String other : group.names()) {
+                if (!other.equals(leader)) {
+                    group.proc(other).kill();
+                }
+            }
+            GroupClient alone = new GroupClient(
+                List.of(group.places().get(group.names().indexOf(leader))), Ticker.SYSTEM);
+            Thread.sleep(100);
+            assertUnreachable(() -> alone.get("/v1/leases", Duration.ofSeconds(3)));
+            assertUnreachable(() -> alone.send(new Acquire("x", "a", 1_000, 0, false),
+                Duration.ofSeconds(3)));
+            assertTrue(alone.get("/v1/leases?stale=1", CALL).path("stale").asBoolean());
+        }
+    }
+
+    private static void assertUnreachable(Executable call) {
+        assertThrows(GroupClient.Unreachable.class, call);
+    }
+
+    @Test
+    void wipedReplicaIsRefusedAndOneOfANewNameTakesItsPlace() throws Exception {
+        try (GroupUnderTest group = group("")) {
+            await("all are known", () -> status(group, group.leader(CALL)).path("members").size() == 3);
+            String victim = group.names().stream().filter(name -> {
+                try {
+                    return !name.equals(group.leader(CALL));
+                } catch (IOException | InterruptedException impossible) {
+                    throw new IllegalStateException(impossible);
+                }
+            }).findFirst().orElseThrow();
+            group.proc(victim).kill();
+            Home.delete(dir.resolve("data").resolve(victim));
+            group.proc(victim).start();
+            await("it ends by itself", () -> !group.proc(victim).alive());
+            assertEquals(78, group.proc(victim).exitCode());
+            assertTrue(Files.readString(group.proc(victim).log().toPath()).contains("other-disk"));
+
+            group.client().post("/v1/leave", Codec.json().createObjectNode().put("name", victim), CALL);
+            try (Proc anew = group.joining("r4")) {
+                anew.start();
+                await("it votes again", () -> {
+                    JsonNode now = status(group, group.leader(CALL));
+                    return now.path("voters").size() == 3;
+                });
+            }
+        }
+    }
+
+    @Test
+    void groupUsesWindowsOnlyOnceEveryVoterKnowsThem() throws Exception {
+        try (GroupUnderTest group = new GroupUnderTest(dir, 3, List.of(Proc.builtJar()), "")) {
+            group.more("r1", "  speaks = 1\n");
+            group.start();
+            await("all are known", () -> status(group, group.leader(CALL)).path("members").size() == 3);
+            Thread.sleep(1_000); // ticks go by; the level must not move by them
+            assertEquals(1, status(group, group.leader(CALL)).path("level").asInt());
+            group.proc("r1").kill();
+            group.more("r1", "");
+            group.proc("r1").start();
+            await("all know level 2", () -> status(group, "r1").path("level").asInt() == 2);
+        }
+    }
+}
