Replicas: bytes that are no message end the link that sent them, and nothing else

Seen: the first drawn play of noise against RaftCodec.message met a NullPointerException (a CBOR null is a message of no class), and messages without their parts would have done the same on the link's loop. Change: what is no message is an IOException, for messages, hellos and beats. Result: 7 tests; 2,000 drawn texts and spoilt messages are refused.

--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -212,6 +212,10 @@
                     throw new IOException("a peer that does not say who it is");
                 }
                 Hello who = Codec.cbor().readValue(body, Hello.class);
+                if (who == null || who.from() == null || who.disk() == null || who.peers() == null
+                        || who.clients() == null) {
+                    throw new IOException("a peer that says half of who it is");
+                }
                 String why = events.hello(who);
                 if (why != null) {
                     refused = true;
@@ -225,7 +229,13 @@
             }
             switch (type) {
                 case RAFT -> events.message(from, body);
-                case BEAT_FRAME -> events.beat(from, Codec.cbor().readValue(body, Beat.class));
+                case BEAT_FRAME -> {
+                    Beat beat = Codec.cbor().readValue(body, Beat.class);
+                    if (beat == null) {
+                        throw new IOException("a beat that says nothing");
+                    }
+                    events.beat(from, beat);
+                }
                 default -> throw new IOException("a frame of type " + type);
             }
         }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/RaftCodec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/RaftCodec.java
@@ -208,9 +208,17 @@
     /** The message of these bytes; what is none is an IOException. */
     RaftMessage message(byte[] bytes) throws IOException {
         Packet p = Codec.cbor().readValue(bytes, Packet.class);
-        if (p.kind() == null || p.from() == null) {
+        if (p == null || p.kind() == null || p.from() == null) {
             throw new IOException("a message without kind or sender");
         }
+        try {
+            return message(p);
+        } catch (RuntimeException parts) { // one is missing, or names what this build does not know
+            throw new IOException("a message of kind " + p.kind() + " without its parts", parts);
+        }
+    }
+
+    private RaftMessage message(Packet p) {
         return switch (p.kind()) {
             case APPEND -> MODEL.createAppendEntriesRequestBuilder().setGroupId(group)
                 .setSender(member(p.from())).setTerm(p.term()).setPreviousLogTerm(p.otherTerm())
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/replica/LogStoreTest.java
@@ -0,0 +1,200 @@
+package saltstage.coordinator.replica;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.store.StoreEvents;
+import saltstage.store.StoreOptions;
+
+/** What a replica finds again after a start is what the engine was promised, and nothing else. */
+class LogStoreTest {
+    private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
+    private static final Member A = new Member("a");
+
+    @TempDir
+    Path dir;
+
+    private static LogEntry entry(long index, int term) {
+        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term)
+            .setOperation(new byte[] {(byte) index, (byte) term}).build();
+    }
+
+    private static RaftGroupMembersView members() {
+        return RaftCodec.view(new RaftCodec.Members(0, List.of("a", "b"), List.of("a", "b")));
+    }
+
+    private static SnapshotChunk chunk(long index, int at, int of) {
+        return MODEL.createSnapshotChunkBuilder().setIndex(index).setTerm(2)
+            .setOperation(new byte[] {(byte) at})
+            .setSnapshotChunkIndex(at).setSnapshotChunkCount(of).setGroupMembersView(members()).build();
+    }
+
+    private Store open() throws IOException {
+        return Store.open(new FileDisk(dir), StoreOptions.usual(), StoreEvents.NONE);
+    }
+
+    private static LogStore begun(Store store) throws IOException {
+        LogStore log = new LogStore(store, why -> { });
+        log.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder()
+            .setLocalEndpoint(new Member("a")).setVoting(true).build());
+        log.persistAndFlushInitialGroupMembers(members());
+        log.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(3)
+            .setVotedFor(new Member("b")).build());
+        return log;
+    }
+
+    private RestoredRaftState restored() throws IOException {
+        try (Store store = open()) {
+            return new LogStore(store, why -> { }).restore();
+        }
+    }
+
+    private static List<Long> indices(RestoredRaftState state) {
+        return state.getLogEntries().stream().map(LogEntry::getIndex).toList();
+    }
+
+    @Test
+    void nothingWasKept() throws IOException {
+        assertNull(restored());
+    }
+
+    @Test
+    void flushedEntriesVoteAndTermAreThereAndTruncatedOnesAreNot() throws IOException {
+        try (Store store = open()) {
+            LogStore log = begun(store);
+            log.persistLogEntries(List.of(entry(1, 1), entry(2, 1), entry(3, 1)));
+            log.flush();
+            log.truncateLogEntriesFrom(2);
+            log.persistLogEntries(List.of(entry(2, 3)));
+            log.flush();
+            log.persistLogEntries(List.of(entry(3, 3))); // never flushed: it was promised to nobody
+        }
+        RestoredRaftState state = restored();
+        assertEquals(List.of(1L, 2L), indices(state));
+        assertEquals(3, state.getLogEntries().get(1).getTerm());
+        assertArrayEquals(new byte[] {2, 3}, (byte[]) state.getLogEntries().get(1).getOperation());
+        assertEquals(3, state.getTermPersistentState().getTerm());
+        assertEquals("b", state.getTermPersistentState().getVotedFor().getId());
+    }
+
+    @Test
+    void wholeSnapshotCountsAndHalfAOneDoesNot() throws IOException {
+        try (Store store = open()) {
+            LogStore log = begun(store);
+            log.persistLogEntries(LongStream.rangeClosed(1, 9).mapToObj(i -> entry(i, 2)).toList());
+            log.persistSnapshotChunk(chunk(5, 0, 2));
+            log.persistSnapshotChunk(chunk(5, 1, 2));
+            log.persistSnapshotChunk(chunk(8, 0, 2)); // its second part never came
+            log.truncateLogEntriesUntil(3);
+            log.flush();
+        }
+        RestoredRaftState state = restored();
+        assertEquals(5, state.getSnapshotEntry().getIndex());
+        assertEquals(2, state.getSnapshotEntry().getSnapshotChunkCount());
+        assertEquals(List.of(6L, 7L, 8L, 9L), indices(state));
+    }
+
+    @Test
+    void logWithAHoleIsRefused() throws IOException {
+        try (Store store = open()) {
+            LogStore log = begun(store);
+            log.persistLogEntries(List.of(entry(1, 1), entry(2, 1), entry(4, 1)));
+            log.flush();
+        }
+        assertThrows(IOException.class, this::restored);
+    }
+
+    @Test
+    void diskOfAnotherMemberIsRefused() throws IOException {
+        try (Store store = open()) {
+            Identity.of(store, settings("a"));
+            assertEquals("a", Identity.of(store, settings("a")).member());
+            assertThrows(IOException.class, () -> Identity.of(store, settings("b")));
+        }
+    }
+
+    private static ReplicaSettings settings(String name) {
+        return new ReplicaSettings("g", name, List.of("a", "b"), null, null, null, null, null, 1, 100, 100, 1,
+            1, System::currentTimeMillis);
+    }
+
+    @Test
+    void everyMessageComesBackAsItWas() throws IOException {
+        RaftCodec codec = new RaftCodec("g");
+        List<RaftMessage> all = new ArrayList<>();
+        all.add(MODEL.createAppendEntriesRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setPreviousLogTerm(6).setPreviousLogIndex(5).setCommitIndex(4)
+            .setLogEntries(List.of(entry(6, 7), MODEL.createLogEntryBuilder().setIndex(7).setTerm(7)
+                .setOperation(NewTerm.ENTRY).build())).setQuerySequenceNumber(3)
+            .setFlowControlSequenceNumber(2).build());
+        all.add(MODEL.createInstallSnapshotRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setSenderLeader(true).setSnapshotTerm(6).setSnapshotIndex(5).setTotalSnapshotChunkCount(2)
+            .setSnapshotChunk(chunk(5, 1, 2)).setSnapshottedMembers(List.of(new Member("b")))
+            .setGroupMembersView(members()).setQuerySequenceNumber(3).setFlowControlSequenceNumber(2)
+            .build());
+        all.add(MODEL.createInstallSnapshotResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setSnapshotIndex(5).setRequestedSnapshotChunkIndex(1).setQuerySequenceNumber(3)
+            .setFlowControlSequenceNumber(2).build());
+        all.add(MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId("g").setSender(A)
+            .setTerm(7).setLastLogIndex(9).setQuerySequenceNumber(3).setFlowControlSequenceNumber(2).build());
+        all.add(MODEL.createAppendEntriesFailureResponseBuilder().setGroupId("g").setSender(A)
+            .setTerm(7).setExpectedNextIndex(9).setQuerySequenceNumber(3).setFlowControlSequenceNumber(2)
+            .build());
+        all.add(MODEL.createPreVoteRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setLastLogTerm(6).setLastLogIndex(5).build());
+        all.add(MODEL.createPreVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setGranted(true).build());
+        all.add(MODEL.createVoteRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setLastLogTerm(6).setLastLogIndex(5).setSticky(true).build());
+        all.add(MODEL.createVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
+            .setGranted(true).build());
+        all.add(MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId("g").setSender(A)
+            .setTerm(7).setLastLogTerm(6).setLastLogIndex(5).build());
+        for (RaftMessage message : all) {
+            RaftMessage back = codec.message(codec.bytes(message));
+            assertEquals(message.getClass(), back.getClass());
+            assertArrayEquals(codec.bytes(message), codec.bytes(back));
+            assertEquals(message.toString().replaceAll("\\[B@\\w+", ""),
+                back.toString().replaceAll("\\[B@\\w+", ""));
+        }
+    }
+
+    /** Whatever a peer sends: a message, or an IOException that ends its link; never another fault. */
+    @Property(tries = 2_000)
+    void bytesThatAreNoMessageAreRefused(@ForAll byte[] noise, @ForAll long seed) {
+        RaftCodec codec = new RaftCodec("g");
+        byte[] sound = codec.bytes(MODEL.createVoteRequestBuilder().setGroupId("g").setSender(A)
+            .setTerm(7).setLastLogTerm(6).setLastLogIndex(5).setSticky(true).build());
+        java.util.Random drawn = new java.util.Random(seed);
+        for (int i = 0; i < 3; i++) {
+            sound[drawn.nextInt(sound.length)] = (byte) drawn.nextInt();
+        }
+        for (byte[] bytes : List.of(noise, sound)) {
+            try {
+                codec.message(bytes);
+            } catch (IOException refused) { // the only way out but a message
+                continue;
+            }
+        }
+    }
+}
