Group tests: hostile calls, damaged and full disks, a clock an hour off

Need: each of these is in the failure model; none had a test on processes. Change: four tests; a process of a trial can be given files of a bounded size.

--- a/lab/src/main/java/saltstage/lab/trial/Proc.java
+++ b/lab/src/main/java/saltstage/lab/trial/Proc.java
@@ -21,6 +21,7 @@
     private final Map<String, String> environment = new HashMap<>();
     private Process process;
     private boolean paused;
+    private int fileKib;
 
     private Proc(String name, List<String> command, Path dir) {
         this.name = name;
@@ -65,8 +66,18 @@
         return name;
     }
 
+    /** From the next start on no file of it may be larger, in KiB: a disk that is full. */
+    void limitFiles(int kib) {
+        fileKib = kib;
+    }
+
     synchronized Proc start() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        List<String> words = fileKib == 0 ? command : new ArrayList<>(List.of("bash", "-c",
+            "ulimit -f " + fileKib + "; exec \"$@\"", "limited"));
+        if (fileKib != 0) {
+            words.addAll(command);
+        }
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         builder.environment().putAll(environment);
         process = builder.start();
--- a/lab/src/test/java/saltstage/lab/trial/GroupTest.java
+++ b/lab/src/test/java/saltstage/lab/trial/GroupTest.java
@@ -1,17 +1,23 @@
 package saltstage.lab.trial;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.function.Executable;
@@ -161,6 +167,99 @@
         }
     }
 
+    @Test
+    void whateverIsAskedGetsOneErrorAndChangesNothing() throws Exception {
+        try (GroupUnderTest group = new GroupUnderTest(dir, 1, List.of(Proc.builtJar()), "").start()) {
+            group.leader(CALL);
+            long before = status(group, "r1").path("leases").asLong();
+            String acquire = "{'client':'c','seq':1,'command':{'op':'acquire','name':'x','owner':'o',"
+                + "'ttlMs':999,'priority':0,'queue':false}}";
+            String plan = "{'client':'c','seq':1,'command':{'op':'set-fleet','by':'b','plan':{'slotMs':1000,"
+                + "'zones':{},'regions':[null],'floors':[],'mostRegions':1,'spacingMs':0,'coldPermille':0}}}";
+            for (String body : List.of("", "{", "[]", "null", "{}", acquire.replace("'seq':1", "'seq':0"),
+                    acquire.replace("'ttlMs':999,", ""), acquire.replace("'x'", "null"),
+                    acquire.replace("'acquire'", "'tick'"), acquire.replace("'acquire'", "'never'"),
+                    acquire.replace("'o'", "'o','more':1"), plan, "x".repeat(100_000))) {
+                HttpResponse<String> said = post(group, "/v1/do", body.replace('\'', '"'));
+                assertEquals(400, said.statusCode(), body + " got " + said.body());
+                assertTrue(Codec.json().readTree(said.body()).path("error").asText().length() > 5,
+                    said.body());
+            }
+            assertEquals(404, post(group, "/v1/never", "{}").statusCode());
+            assertEquals(413, post(group, "/v1/do", "x".repeat(3 << 20)).statusCode());
+            assertEquals(before, status(group, "r1").path("leases").asLong());
+            assertEquals(200, post(group, "/v1/do", acquire.replace('\'', '"')).statusCode());
+        }
+    }
+
+    private static HttpResponse<String> post(GroupUnderTest group, String path, String body)
+            throws IOException, InterruptedException {
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        return http.send(HttpRequest.newBuilder(URI.create("http://" + group.places().get(0) + path))
+            .POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    @Test
+    void damagedDiskIsRefusedAndTheOthersGoOn() throws Exception {
+        try (GroupUnderTest group = group("")) {
+            GroupClient client = group.client();
+            for (int i = 0; i < 50; i++) {
+                client.send(new Acquire("l" + i, "o", 60_000, 0, false), CALL);
+            }
+            group.proc("r2").kill();
+            List<Path> segments;
+            try (Stream<Path> files = Files.list(dir.resolve("data").resolve("r2"))) {
+                segments = files.filter(f -> f.getFileName().toString().contains("seg")
+                    || f.getFileName().toString().endsWith(".log")).sorted().toList();
+            }
+            assertFalse(segments.isEmpty());
+            for (Path segment : segments) { // a stretch in the middle of what is acknowledged
+                byte[] bytes = Files.readAllBytes(segment);
+                for (int i = 600; i < Math.min(bytes.length, 1_800); i++) {
+                    bytes[i] ^= 0x55;
+                }
+                Files.write(segment, bytes);
+            }
+            group.proc("r2").start();
+            await("it ends by itself", () -> !group.proc("r2").alive());
+            assertTrue(group.proc("r2").exitCode() != 0);
+            assertInstanceOf(Held.class,
+                client.send(new Acquire("l49", "other", 1_000, 0, false), CALL).reply());
+        }
+    }
+
+    @Test
+    void diskThatIsFullEndsItsReplicaAndTheOthersGoOn() throws Exception {
+        try (GroupUnderTest group = new GroupUnderTest(dir, 3, List.of(Proc.builtJar()),
+                "  snapshot_every = 100000\n")) {
+            group.proc("r2").limitFiles(4 << 10); // KiB a file: the first segment does not fit
+            group.start();
+            await("it ends by itself", () -> !group.proc("r2").alive());
+            assertTrue(group.proc("r2").exitCode() != 0);
+            assertInstanceOf(Granted.class, acquire(group.client(), "a", 1_000));
+        }
+    }
+
+    @Test
+    void clockOfOneReplicaThatIsAnHourOffChangesNothing() throws Exception {
+        try (GroupUnderTest group = new GroupUnderTest(dir, 3, List.of(Proc.builtJar()), "")) {
+            group.more("r1", "  trial {\n    wall_off_ms = 3600000\n  }\n");
+            group.more("r2", "  trial {\n    clock_percent = 101\n  }\n");
+            group.start();
+            await("the day is known", () -> status(group, group.leader(CALL)).path("day").asLong() > 0
+                && status(group, group.leader(CALL)).path("members").size() == 3);
+            for (String name : group.names()) { // each leads once, the one that is off too
+                if (!name.equals(group.leader(CALL))) {
+                    group.client().post("/v1/transfer", Codec.json().createObjectNode().put("to", name),
+                        CALL);
+                }
+                Thread.sleep(500);
+                long off = status(group, name).path("day").asLong() - System.currentTimeMillis();
+                assertTrue(Math.abs(off) < 60_000, name + " leads, and the day is off by " + off + " ms");
+            }
+        }
+    }
+
     @Test
     void groupUsesWindowsOnlyOnceEveryVoterKnowsThem() throws Exception {
         try (GroupUnderTest group = new GroupUnderTest(dir, 3, List.of(Proc.builtJar()), "")) {
