--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/AdviceCommands.java
@@ -0,0 +1,39 @@
+package saltstage.coordinator.advice;
+
+import java.util.List;
+import saltstage.coordinator.model.Command;
+
+/** What is recorded of advice. */
+public final class AdviceCommands {
+    /** From this feature level on. */
+    public static final int SINCE = 3;
+    /** The lease under which one advisor speaks. */
+    public static final String LEASE = "advisor";
+
+    private AdviceCommands() {
+    }
+
+    /** What the advisor that holds the lease says now, in place of what it said before and nobody took up. */
+    public record Advise(String owner, long fence, List<Move> moves, String why) implements Command {
+        @Override
+        public int since() {
+            return SINCE;
+        }
+    }
+
+    /** An operator takes a recommendation up, or turns it down. */
+    public record Decide(long id, boolean accept, String by) implements Command {
+        @Override
+        public int since() {
+            return SINCE;
+        }
+    }
+
+    /** What came of one that was taken up: the gain that was measured, or that it was stopped. */
+    public record Outcome(long id, boolean stopped, double gain, String by) implements Command {
+        @Override
+        public int since() {
+            return SINCE;
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
@@ -0,0 +1,158 @@
+package saltstage.coordinator.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import saltstage.coordinator.advice.AdviceCommands;
+import saltstage.coordinator.advice.Advisor;
+import saltstage.coordinator.advice.Board;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.LeaseClient;
+import saltstage.coordinator.client.Ticker;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+import saltstage.log.Log;
+
+/** Which tenants to move between nodes. */
+@Command(name = "advice", description = "Which tenants to move between nodes.",
+    mixinStandardHelpOptions = true, subcommands = {AdviceCommand.Show.class, AdviceCommand.Accept.class,
+        AdviceCommand.Refuse.class, AdviceCommand.Advise.class})
+final class AdviceCommand {
+    private AdviceCommand() {
+    }
+
+    private static int decide(Group group, long id, boolean accept) throws Exception {
+        Reply reply = group.client().send(new AdviceCommands.Decide(id, accept,
+            System.getProperty("user.name")), group.within()).reply();
+        if (reply instanceof Refused no) {
+            System.err.println("saltstage: " + no.why());
+            return 1;
+        }
+        group.print(reply, id + ": " + (accept ? "accepted" : "refused"));
+        return 0;
+    }
+
+    /** What was said. */
+    @Command(name = "list", aliases = "history", description = "Shows recommendations and what became of"
+        + " them.", mixinStandardHelpOptions = true)
+    static final class Show implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Override
+        public Integer call() throws Exception {
+            JsonNode read = group.client().get("/v1/advice", group.within());
+            if (group.json()) {
+                System.out.println(read);
+                return 0;
+            }
+            System.out.println(read.path("book").path("why").asText());
+            for (JsonNode row : read.path("book").path("rows")) {
+                JsonNode move = row.path("move");
+                System.out.printf("%d %s: %d connections of %s from %s to %s, gain %.0f for %.0f,"
+                    + " confidence %.2f; %s%n", row.path("id").asLong(), row.path("state").asText(),
+                    move.path("connections").asInt(), move.path("tenant").asText(),
+                    move.path("from").asText(),
+                    move.path("to").asText(), move.path("gain").asDouble(), move.path("cost").asDouble(),
+                    move.path("confidence").asDouble(), move.path("why").asText());
+            }
+            return 0;
+        }
+    }
+
+    /** Taken up. */
+    @Command(name = "accept", description = "Takes one up.", mixinStandardHelpOptions = true)
+    static final class Accept implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(paramLabel = "NUMBER")
+        private long id;
+
+        @Override
+        public Integer call() throws Exception {
+            return decide(group, id, true);
+        }
+    }
+
+    /** Turned down. */
+    @Command(name = "refuse", description = "Turns one down.", mixinStandardHelpOptions = true)
+    static final class Refuse implements Callable<Integer> {
+        @CommandLine.Mixin
+        private Group group;
+
+        @Parameters(paramLabel = "NUMBER")
+        private long id;
+
+        @Override
+        public Integer call() throws Exception {
+            return decide(group, id, false);
+        }
+    }
+
+    /** The advisor: one of any number speaks, the one that holds the lease. */
+    @Command(name = "serve", description = "Runs an advisor; one of several speaks, under a lease.",
+        mixinStandardHelpOptions = true)
+    static final class Advise implements Callable<Integer> {
+        private static final java.time.Duration LEASE = java.time.Duration.ofSeconds(5);
+        private static final java.time.Duration WAIT = java.time.Duration.ofSeconds(30);
+
+        @CommandLine.Mixin
+        private Group group;
+
+        @Option(names = "--every", converter = Group.Span.class, defaultValue = "2s")
+        private java.time.Duration every;
+
+        @Override
+        public Integer call() throws Exception {
+            LeaseClient leases = new LeaseClient(group.client(), group.client(), Ticker.SYSTEM,
+                "advisor-" + ProcessHandle.current().pid());
+            Runtime.getRuntime().addShutdownHook(new Thread(leases::close));
+            GroupClient client = group.client();
+            while (true) {
+                try (LeaseClient.Lease lease =
+                        leases.acquire(AdviceCommands.LEASE, LEASE, WAIT, 0, () -> { })) {
+                    Log.info("advisor.speaks", "fence", lease.fence());
+                    while (true) {
+                        lease.checkStillHeld();
+                        say(client, lease, leases.owner());
+                        Thread.sleep(every.toMillis());
+                    }
+                } catch (LeaseClient.Lost | LeaseClient.NotGranted | java.io.IOException notNow) {
+                    Log.info("advisor.waits", "why", notNow.getMessage());
+                    Thread.sleep(200);
+                }
+            }
+        }
+
+        private void say(GroupClient client, LeaseClient.Lease lease, String owner)
+                throws java.io.IOException, InterruptedException, LeaseClient.Lost {
+            JsonNode read = client.get("/v1/advice", group.within());
+            List<Board.View> views = new ArrayList<>();
+            for (JsonNode view : read.path("views")) {
+                views.add(Codec.json().treeToValue(view, Board.View.class));
+            }
+            List<Advisor.Made> made = new ArrayList<>();
+            for (JsonNode one : read.path("made")) {
+                made.add(Codec.json().treeToValue(one, Advisor.Made.class));
+            }
+            Set<String> avoid = new HashSet<>();
+            read.path("avoid").forEach(name -> avoid.add(name.asText()));
+            Advisor.Advice advice = new Advisor(Advisor.Rules.usual()).advise(views, avoid, made, 0);
+            lease.checkStillHeld();
+            Reply reply = client.send(new AdviceCommands.Advise(owner, lease.fence(), advice.moves(),
+                advice.why()), group.within()).reply();
+            if (reply instanceof Refused no) {
+                Log.warn("advisor.refused", "why", no.why());
+            }
+        }
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
@@ -11,7 +11,7 @@
 /** The command line of the coordinator: replicas, and whoever asks them. */
 @Command(name = "saltstage", description = "Leases and maintenance for a fleet of relays.",
     mixinStandardHelpOptions = true, subcommands = {ClusterCommand.class, LeaseCommand.class,
-        WindowCommand.class, AgentCommand.class})
+        WindowCommand.class, AgentCommand.class, AdviceCommand.class})
 public final class Coordinator {
     /** No group could be reached. */
     static final int UNREACHABLE = 69;
--- a/coordinator/src/main/java/saltstage/coordinator/front/Front.java
+++ b/coordinator/src/main/java/saltstage/coordinator/front/Front.java
@@ -10,10 +10,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import saltstage.coordinator.advice.AdviceBook;
+import saltstage.coordinator.advice.Advisor;
+import saltstage.coordinator.advice.Board;
+import saltstage.coordinator.advice.NodeSnapshot;
 import saltstage.coordinator.group.Codec;
 import saltstage.coordinator.group.GroupState;
 import saltstage.coordinator.lease.LeaseCommands;
@@ -54,6 +59,10 @@
         }
     }
 
+    /** No tenant is moved to a node that goes out within so long. */
+    private static final long AHEAD_MS = 3_600_000;
+
+    private final Board board = new Board();
     private final Replica replica;
     private final AtomicInteger calls = new AtomicInteger();
 
@@ -111,6 +120,8 @@
                 state.windows().all(), state.time().day()), false).thenApply(read -> new Answer(200, read));
             case "GET /v1/levels" -> levels(uri.parameters());
             case "GET /v1/status" -> replica.status().thenApply(status -> new Answer(200, status));
+            case "POST /v1/snapshot" -> snapshot(body(request));
+            case "GET /v1/advice" -> advice();
             case "POST /v1/join" -> join(body(request));
             case "POST /v1/leave" -> replica.leave(text(body(request), "name"))
                 .thenApply(state -> new Answer(200, Map.of("state", state)));
@@ -249,6 +260,42 @@
         });
     }
 
+    /** All that an advisor goes by, and what was said. */
+    record Advising(AdviceBook.Image book, List<Board.View> views, List<Advisor.Made> made,
+            Set<String> avoid) {
+    }
+
+    private CompletableFuture<Answer> advice() {
+        return replica.read(state -> {
+            synchronized (board) {
+                return new Advising(state.advice().image(), board.views(System.nanoTime() / 1_000_000),
+                    state.advice().made(state.time().now()),
+                    state.windows().avoided(state.time().day(), AHEAD_MS));
+            }
+        }, false).thenApply(read -> new Answer(200, read));
+    }
+
+    /** Snapshots are kept by who leads, and by nobody else: whoever comes to lead begins with none. */
+    private CompletableFuture<Answer> snapshot(JsonNode body) {
+        NodeSnapshot snapshot;
+        try {
+            snapshot = Codec.json().treeToValue(body, NodeSnapshot.class);
+        } catch (JsonProcessingException bad) {
+            throw new BadRequest("no snapshot: " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
+        }
+        if (snapshot.fault() != null) {
+            throw new BadRequest(snapshot.fault());
+        }
+        if (!replica.leads()) {
+            return CompletableFuture.completedFuture(new Answer(421,
+                new Fault("another replica leads", BUSY_MS, replica.leaderClients())));
+        }
+        synchronized (board) {
+            boolean taken = board.take(snapshot, System.nanoTime() / 1_000_000);
+            return done(new Answer(200, Map.of("taken", taken)));
+        }
+    }
+
     private CompletableFuture<Answer> join(JsonNode body) {
         return replica.join(text(body, "name"), text(body, "disk"), text(body, "peers"),
             text(body, "clients")).thenApply(state -> new Answer(200, Map.of("state", state)));
--- a/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import saltstage.coordinator.advice.AdviceCommands;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.LeaseReplies;
 import saltstage.coordinator.model.Command;
@@ -51,6 +52,9 @@
         COMMANDS.put("begin", WindowCommands.Begin.class);
         COMMANDS.put("report", WindowCommands.Report.class);
         COMMANDS.put("outage", WindowCommands.Outage.class);
+        COMMANDS.put("advise", AdviceCommands.Advise.class);
+        COMMANDS.put("decide", AdviceCommands.Decide.class);
+        COMMANDS.put("outcome", AdviceCommands.Outcome.class);
         REPLIES.put("planned", WindowReplies.Planned.class);
         REPLIES.put("window", WindowReplies.Now.class);
         REPLIES.put("done", Done.class);
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import saltstage.coordinator.advice.AdviceBook;
+import saltstage.coordinator.advice.AdviceCommands;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.Leases;
 import saltstage.coordinator.model.Command;
@@ -20,7 +22,7 @@
  */
 public final class GroupState {
     /** The highest feature level that this build knows. */
-    public static final int SPEAKS = 2;
+    public static final int SPEAKS = 3;
 
     /** The disk of a name that was given up: no disk has it. */
     public static final String RETIRED = "retired";
@@ -32,7 +34,7 @@
     /** What a snapshot keeps; what is null is not written. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
     public record Image(int level, GroupTime.Image time, List<Sessions.Row> sessions, Leases.Image leases,
-            Map<String, MemberRow> members, Windows.Image windows) {
+            Map<String, MemberRow> members, Windows.Image windows, AdviceBook.Image advice) {
     }
 
     private int level;
@@ -41,11 +43,12 @@
     private final Leases leases;
     private final Map<String, MemberRow> members;
     private final Windows windows;
+    private final AdviceBook advice;
 
     /** A new group. */
     public GroupState() {
         this(new Image(1, GroupTime.zero().image(), List.of(), new Leases().image(), Map.of(),
-            new Windows().image()));
+            new Windows().image(), new AdviceBook().image()));
     }
 
     /** As a snapshot has it. */
@@ -56,13 +59,15 @@
         leases = new Leases(image.leases());
         members = new TreeMap<>(image.members());
         windows = image.windows() == null ? new Windows() : new Windows(image.windows());
+        advice = image.advice() == null ? new AdviceBook() : new AdviceBook(image.advice());
     }
 
     /** What a snapshot keeps; equal states give equal images. */
     public Image image() {
         // A group that still works at level 1 has replicas that know no windows, and take no field more.
         return new Image(level, time.image(), sessions.image(), leases.image(),
-            new TreeMap<>(members), level < WindowCommands.SINCE ? null : windows.image());
+            new TreeMap<>(members), level < WindowCommands.SINCE ? null : windows.image(),
+            level < AdviceCommands.SINCE ? null : advice.image());
     }
 
     /** Carries one entry of the log out. */
@@ -70,6 +75,7 @@
         time.stamped(entry.epoch(), entry.stampMs());
         leases.advance(time.now());
         windows.advance(time.day());
+        advice.advance(time.now());
         if (entry.client().isEmpty()) {
             return carryOut(entry.command());
         }
@@ -102,6 +108,17 @@
         if (command instanceof LeaseCommands.Release ask) {
             return new Done(leases.release(ask, time.now()) ? "released" : "not-held");
         }
+        if (command instanceof AdviceCommands.Advise ask) {
+            return leases.holds(AdviceCommands.LEASE, ask.owner(), ask.fence(), time.now())
+                ? advice.advise(ask, time.now())
+                : new Refused("fenced", "the advisor's lease is not held so", 0);
+        }
+        if (command instanceof AdviceCommands.Decide ask) {
+            return advice.decide(ask, time.now());
+        }
+        if (command instanceof AdviceCommands.Outcome ask) {
+            return advice.outcome(ask, time.now());
+        }
         return command.since() == WindowCommands.SINCE ? window(command) : ownBusiness(command);
     }
 
@@ -207,6 +224,11 @@
         return windows;
     }
 
+    /** Its advice. */
+    public AdviceBook advice() {
+        return advice;
+    }
+
     /** Its members, by name. */
     public Map<String, MemberRow> members() {
         return members;
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -195,7 +195,8 @@
 
     // ---- the leader's business, on the engine's thread
 
-    private boolean leads() {
+    /** Whether this one leads, as far as it knows. */
+    public boolean leads() {
         RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
         return leader != null && settings.name().equals(leader.getId());
     }
--- a/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
@@ -454,6 +454,18 @@
         return new Done("noted");
     }
 
+    /** Nodes that nothing should be moved to: out, coming back, or planned to be out before long. */
+    public Set<String> avoided(long now, long aheadMs) {
+        Set<String> nodes = new TreeSet<>();
+        for (Window window : windows.values()) {
+            boolean soon = window.state() == State.PLANNED && window.start() < now + aheadMs;
+            if (soon || window.state().takesCapacity()) {
+                nodes.addAll(window.wish().nodes());
+            }
+        }
+        return nodes;
+    }
+
     // ---- for people
 
     /** Each floor at the begin of each slot between two moments, thinned to so many. */
--- a/lab/src/test/java/saltstage/lab/trial/GroupTest.java
+++ b/lab/src/test/java/saltstage/lab/trial/GroupTest.java
@@ -26,6 +26,7 @@
 import saltstage.coordinator.client.GroupClient;
 import saltstage.coordinator.client.Ticker;
 import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
 import saltstage.coordinator.lease.LeaseCommands.Acquire;
 import saltstage.coordinator.lease.LeaseReplies.Granted;
 import saltstage.coordinator.lease.LeaseReplies.Held;
@@ -271,7 +272,8 @@
             group.proc("r1").kill();
             group.more("r1", "");
             group.proc("r1").start();
-            await("all know level 2", () -> status(group, "r1").path("level").asInt() == 2);
+            await("all know what this build does",
+                () -> status(group, "r1").path("level").asInt() == GroupState.SPEAKS);
         }
     }
 }
