WindowsTest: a drain is refused while what came before has proven nothing

Seen: of eight guards of the coordinator taken out one by one, seven were missed by a test and one was not: the look at what is really missing when a drain asks to begin (Windows.begin). Change: the test of two windows asks at the planned moment, with the first not back.

--- a/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
@@ -74,6 +74,9 @@
         assertTrue(second.start() >= MONDAY + 40 * MINUTE, "until the first warms 200 are missing");
         assertTrue(second.start() < MONDAY + HOUR, "while it warms there is room before its very end");
         assertInstanceOf(Refused.class, windows.begin(second.id(), MONDAY), "not before its time");
+        now(windows.begin(first.id(), MONDAY)); // it is planned to be warming by then, and has proven nothing
+        Refused gate = assertInstanceOf(Refused.class, windows.begin(second.id(), second.start()));
+        assertEquals("not-now", gate.code(), gate.why());
     }
 
     @Test
