Half a line that crosses a move is dropped: its client hears MOVE, not a cut line

Cause: LineRelay.move ends reading to wake the reader. Bytes of a line that crossed it came out of LineReader as the rest before the end of input, pump passed them on, counted itself in the middle of a line and ended the connection by backendEnded instead of moved. Now a piece without an end that comes after the move was asked is dropped: the client has none of it, so MOVE falls between two lines.

The test fails without the change.

--- a/relay/src/main/java/saltstage/stage/LineRelay.java
+++ b/relay/src/main/java/saltstage/stage/LineRelay.java
@@ -70,9 +70,13 @@
                 if (piece == null) {
                     break;
                 }
+                boolean whole = piece[piece.length - 1] == '\n';
+                if (!whole && !midLine && up.moveReason() != null) {
+                    break; // bytes that crossed the end of reading: the client has none of them and needs its MOVE
+                }
                 Answer answer = Answer.of(piece);
                 last = answer.kind();
-                midLine = piece[piece.length - 1] != '\n';
+                midLine = !whole;
                 book.heard(up, answer);
                 if (!toClient(up, piece)) {
                     return clientGone(up);
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -175,6 +175,18 @@
         assertEquals(0, world.process().exitValue());
     }
 
+    @Test
+    public void lineThatNeverEndsDoesNotCostItsClientTheMove() throws Exception {
+        Line client = world.open("a9", 20_000);
+        Line side = world.stand(backend, client);
+        side.raw("M 1 whole\r\nM 2 ha");
+        assertEquals("M 1 whole", client.hear());
+        world.process().toHandle().destroy();
+        assertEquals("MOVE", client.hear());
+        assertNull(client.hear());
+        assertNull("the backend is let go", side.hear());
+    }
+
     @Test
     public void clientsAreServedOnAfterTerminationBeforeTheyAreMoved() throws Exception {
         Line client = world.open("a9", 20_000);
