Discovery: a call that hangs no longer keeps a change unheard; pushed lists are watched

Terms: a change counts as told 6 s after discovery had it and could be reached, whatever failed before; what an agent has counts from a process' first moment.

Cause, read in the code and forced by tests: DiscoveryClient.awaitHead waited up to 12 s for one answer before Program.watch called again, so a call that hung at a dead machine kept the list deaf for 12 s and the module's pause of up to 3 s. A list with an older version was taken.

Change: Subscription makes another call beside one that is unanswered for 1.5 s (6 s less the longest pause and an answer), at most four; the first that tells something is the watch, the others end; versions never go back; where lists are pushed the agent is asked at the start, again after 0.1 s, and the listener answers nobody before it was heard or 1 s passed. The client's growing patience is gone: each call waits 12 s in its own right, so the test of a late service now wants the first call to hear it.

--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -7,7 +7,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Semaphore;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import saltstage.admin.AdminListener;
 import saltstage.amqp.AmqpFront;
 import saltstage.config.AmqpSettings;
@@ -27,7 +28,6 @@
 import saltstage.net.Transport;
 import saltstage.stage.Chain;
 import saltstage.stage.Threads;
-import saltstage.wire.DiscoveryClient;
 import saltstage.wire.HostList;
 import saltstage.wire.MalformedException;
 
@@ -37,6 +37,8 @@
     private static final int BEATS_PER_DELAYS = 2;
     private static final int BEATS_PER_TOTALS = 20;
 
+    /** It answers at once; a start must not wait longer for one that is silent. */
+    private static final Duration AGENT = Duration.ofSeconds(1);
     private static final Duration LAST_WRITE = Duration.ofMillis(200);
 
     private final Configuration config;
@@ -49,12 +51,11 @@
     private final Counts counts;
     private final Peers peers;
     private final Clerk clerk;
-    private final Semaphore watchWanted = new Semaphore(0);
+    private final Subscription subscription;
+    private final CountDownLatch firstList = new CountDownLatch(1);
     private final Chain chain;
     private volatile ClientListener listener;
     private volatile boolean failed;
-    private volatile DiscoveryClient discovery;
-    private InetSocketAddress discoveryAddress;
     private volatile AmqpFront amqp;
     private int beats;
     private Instant beatDue = clock.now();
@@ -82,11 +83,11 @@
         bans = new Bans(admin() == null ? null : folder, config.name());
         counts = new Counts(config.classes());
         peers = new Peers(bans::has);
-        chain = new Chain(config, clock, timers, peers, counts, watchWanted::release);
+        chain = new Chain(config, clock, timers, peers, counts, this::watch);
         clerk = new Clerk(clock, peers, chain, counts, bans, shared ? claim(folder) : null,
             shared ? folder.resolve(config.name() + ".takeover") : null);
-        discoveryAddress = config.discovery();
-        discovery = new DiscoveryClient(discoveryAddress);
+        subscription = new Subscription(config.discovery(), !config.settings().asksForList(), timers,
+            peers::rev, this::heard, chain.route()::listRefused);
     }
 
     private Slots claim(Path folder) {
@@ -120,8 +121,10 @@
         clerk.listed(known);
         peers.update(known);
         Threads.loop("timers", () -> timers.next().run());
-        Threads.loop("discovery", this::watch);
         chain.route().start(known);
+        if (!config.settings().asksForList()) {
+            subscription.ask(); // the module does not: to it, lists that are pushed come by themselves
+        }
         if (left != null) {
             chain.route().learn(left.learnt());
         }
@@ -143,6 +146,7 @@
             clerk.look(); // bans and the part of the descriptors hold before the first client
             Threads.loop("clerk", clerk::round);
         }
+        awaitAgent();
         listener = clients;
         clients.start(chain.takeIn()::accept);
         clerk.ready(null);
@@ -150,6 +154,21 @@
             "rev", peers.rev(), "peers", peers.all().size());
     }
 
+    /**
+     * Where lists are pushed, what the agent has counts as told from a process' first moment, and the list it
+     * was started with may be old: nobody is sent anywhere before the agent has been heard. It is silent
+     * while discovery is down; a relay that came to nothing but its last list has to serve all the same.
+     */
+    private void awaitAgent() throws IOException {
+        try {
+            if (!config.settings().asksForList() && !firstList.await(AGENT.toMillis(), TimeUnit.MILLISECONDS)) {
+                Log.warn("discovery.none", "rev", peers.rev());
+            }
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
     private void startAmqp(AmqpSettings settings) throws IOException {
         Transport transport = new NettyTransport(settings.loops(), true, (where, fault) ->
             Log.error("loop.fault." + where, fault));
@@ -183,13 +202,7 @@
             List<String> later = new ArrayList<>(read.differsFrom(config));
             AmqpFront.Change change = amqp == null || chosen.amqp().isEmpty() ? null
                 : amqp.change(chosen.amqp().get()); // all is checked before anything is in force
-            if (!read.discovery().equals(discoveryAddress)) {
-                DiscoveryClient old = discovery;
-                discoveryAddress = read.discovery();
-                discovery = new DiscoveryClient(discoveryAddress);
-                old.stop();
-                watchWanted.release();
-            }
+            subscription.moveTo(read.discovery());
             if (change != null) {
                 later.addAll(change.apply());
             } else if (amqp != null || chosen.amqp().isPresent()) {
@@ -199,7 +212,7 @@
             if (keeper != null) {
                 keeper.accepted(read.text(), chosen.text());
             }
-            Log.info("reload.done", "discovery", discoveryAddress, "restart_for", later);
+            Log.info("reload.done", "discovery", subscription.address(), "restart_for", later);
         } catch (MalformedException | RuntimeException bad) {
             Log.warn("reload.refused", "why", bad.getMessage());
         }
@@ -264,22 +277,8 @@
         }
     }
 
-    /** One watch, resumed where the last one ended; the module says when, and jitters its pauses. */
-    private void watch() throws InterruptedException {
-        watchWanted.acquire();
-        watchWanted.drainPermits();
-        DiscoveryClient watched = discovery;
-        String why = "fault";
-        try {
-            watched.watch(peers.rev(), this::heard);
-        } catch (IOException | MalformedException e) {
-            why = String.valueOf(e.getMessage());
-        } finally {
-            if (watched == discovery) { // else a reload ended it: the new address is asked without a pause
-                Log.warn("discovery.lost", "why", why, "rev", peers.rev());
-                chain.route().listRefused();
-            }
-        }
+    private void watch() {
+        subscription.ask();
     }
 
     private void heard(HostList list) {
@@ -288,5 +287,6 @@
         if (keeper != null) {
             keeper.listed(peers.list());
         }
+        firstList.countDown();
     }
 }
--- a/relay/src/main/java/saltstage/wire/DiscoveryClient.java
+++ b/relay/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -5,7 +5,6 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
@@ -18,14 +17,13 @@
     /** An empty line comes every 2 s; told counts as told after 6 s: silence must be noticed between. */
     private static final Duration SILENCE = Duration.ofSeconds(3);
     private static final Duration CONNECT = Duration.ofSeconds(1);
-    /** Times the silence that a first answer may take. */
-    private static final int MOST_PATIENCE = 4;
+    /** Times the silence that a first answer may take: a service that works through calls in turn is slow. */
+    private static final int PATIENCE = 4;
     private static final int MOST_HEAD = 16 << 10;
     private static final int MOST_LINE = 4 << 20;
 
     private final InetSocketAddress address;
     private final Duration silence;
-    private Duration patience;
     private Socket call;
     private boolean stopped;
 
@@ -38,7 +36,6 @@
     DiscoveryClient(InetSocketAddress address, Duration silence) {
         this.address = address;
         this.silence = silence;
-        patience = silence;
     }
 
     /** Takes what a watch brings. */
@@ -75,9 +72,9 @@
                 + address.getAddress().getHostAddress() + ":" + address.getPort()
                 + "\r\nAccept: application/json\r\n\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            DeadlineInput timed = new DeadlineInput(socket, patience);
+            DeadlineInput timed = new DeadlineInput(socket, silence.multipliedBy(PATIENCE));
             InputStream in = new BufferedInputStream(timed, 4096);
-            awaitHead(in);
+            readHead(in);
             timed.until(silence);
             ChunkedInput body = new ChunkedInput(in);
             ObjectSplitter objects = new ObjectSplitter(MOST_LINE);
@@ -94,22 +91,6 @@
         }
     }
 
-    /**
-     * A service that works through calls in turn may need longer than this relay waits: each call that is
-     * hung up on would be the last in its queue again, and the list would never come. So each waits longer.
-     */
-    private void awaitHead(InputStream in) throws IOException, MalformedException {
-        try {
-            readHead(in);
-            patience = silence;
-        } catch (SocketTimeoutException slow) {
-            Duration longer = patience.multipliedBy(2);
-            Duration most = silence.multipliedBy(MOST_PATIENCE);
-            patience = longer.compareTo(most) < 0 ? longer : most;
-            throw slow;
-        }
-    }
-
     private static void readHead(InputStream in) throws IOException, MalformedException {
         int[] budget = {MOST_HEAD};
         String status = headLine(in, budget);
--- a/relay/src/test/java/saltstage/process/DiscoveryTest.java
+++ b/relay/src/test/java/saltstage/process/DiscoveryTest.java
@@ -4,6 +4,8 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -51,6 +53,59 @@
         world.stand(backend, world.open("a1", 20_000));
     }
 
+    @Test
+    public void changeIsHeardInTimeThoughACallHangs() throws Exception {
+        Service second = world.backend();
+        world.start(World.list(1, true, ready, World.target("s-2", second.endpoint(), "draining")));
+        Line hangs = world.discovery.accept();
+        long begun = System.nanoTime();
+        assertTrue(hangs.hear().contains("after=1 "));
+        world.watched(World.list(2, false, World.target("s-1", backend.endpoint(), "draining"),
+            World.target("s-2", second.endpoint(), "ready")));
+        World.await("the change is taken", () -> world.logged("rev=2"));
+        Duration took = Duration.ofNanos(System.nanoTime() - begun);
+        assertTrue("told counts from 6 s on, took " + took, took.compareTo(Duration.ofSeconds(5)) < 0);
+        world.stand(second, world.open("a1", 20_000));
+        while (hangs.hear() != null) { // the rest of its call; then it is given up
+            continue;
+        }
+    }
+
+    @Test
+    public void pushedListIsWatchedFromTheStartAndNobodyIsServedBeforeIt() throws Exception {
+        Service second = world.backend();
+        BlockingQueue<Line> watch = World.aside(() -> world.watched(World.list(2, false,
+            World.target("s-1", backend.endpoint(), "draining"),
+            World.target("s-2", second.endpoint(), "ready"))));
+        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "push"));
+        assertTrue(world.logged("relay.ready name=n0") && world.log.stream()
+            .anyMatch(line -> line.contains("relay.ready") && line.contains("rev=2")));
+        world.stand(second, world.open("a1", 20_000));
+        watch.take().close();
+        world.watched(World.list(3, false, World.target("s-2", second.endpoint(), "gone"),
+            World.target("s-1", backend.endpoint(), "ready"))); // asked again at once, and not by the module
+        World.await("the change is taken", () -> world.logged("rev=3"));
+        world.stand(backend, world.open("a2", 20_000));
+    }
+
+    @Test
+    public void silentAgentKeepsNoRelayFromItsStart() throws Exception {
+        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "push"));
+        assertTrue(world.logged("discovery.none"));
+        world.stand(backend, world.open("a1", 20_000));
+    }
+
+    @Test
+    public void wholeListWithFewerEntriesEndsWhoIsNotNamed() throws Exception {
+        Service second = world.backend();
+        world.start(World.list(1, true, ready, World.target("s-2", second.endpoint(), "draining")));
+        Line standing = world.open("a1", 20_000);
+        world.stand(backend, standing);
+        world.watched(World.list(2, true, World.target("s-2", second.endpoint(), "ready")));
+        assertEquals("MOVE", standing.hear());
+        world.stand(second, world.open("a2", 20_000));
+    }
+
     @Test
     public void requestWaitsForABackendToBeNamed() throws Exception {
         world.start(World.list(1, true));
