Drain: who asks after the first refusal of those that wait is refused too

Cause: Drain.run rejected the waiting once, 0.8 s before its end, and went on taking clients. One that asked after that round waited for its backend until the process ended, and was cut off without an answer. Change: each step rejects what waits by then. Seen: ServeTest.whoAsksWhenTheLastHaveBeenRejectedIsAnsweredToo fails with the old single round (no answer before the end of the connection).

--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -54,12 +54,10 @@
             chain.fronts().forEach(Front::leave);
         }
         try {
-            boolean rejected = false;
             while (since().compareTo(over) < 0 && !done()) {
                 moveSome();
-                if (!rejected && since().compareTo(over.minus(AFTER_MOVES)) >= 0) {
-                    chain.rejectWaiting();
-                    rejected = true;
+                if (since().compareTo(over.minus(AFTER_MOVES)) >= 0) {
+                    chain.rejectWaiting(); // each time: who asks after the first one has to be answered too
                 }
                 Thread.sleep(STEP.toMillis());
             }
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -187,6 +187,18 @@
         assertNull("the backend is let go", side.hear());
     }
 
+    @Test
+    public void whoAsksWhenTheLastHaveBeenRejectedIsAnsweredToo() throws Exception {
+        Line waits = world.open("a9", 20_000);
+        backend.accept().hear(); // and never answers
+        world.process().toHandle().destroy();
+        assertEquals("BUSY", waits.hear());
+        Line late = world.open("b1", 20_000);
+        assertEquals("BUSY", late.hear());
+        assertNull(late.hear());
+        assertTrue(world.waitForEnd());
+    }
+
     @Test
     public void clientsAreServedOnAfterTerminationBeforeTheyAreMoved() throws Exception {
         Line client = world.open("a9", 20_000);
