Descriptors: connections of probes are taken from what requests may hold

Cause: Admit set 40 descriptors aside for all the relay needs itself, while each listed backend that is probed holds one more: with 90 backends the limit could be reached before admit.full was said. Change: Chain takes as many descriptors off as backends are listed, wherever probes are allowed, at the start and with each list. ServeTest.probesTakeTheirDescriptorsFromWhatRequestsMayHold shows that the room is really smaller.

--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -120,6 +120,7 @@
         HostList known = newestKnown(left);
         clerk.listed(known);
         peers.update(known);
+        chain.descriptors(config.sockets()); // probes of these backends take theirs
         Threads.loop("timers", () -> timers.next().run());
         chain.route().start(known);
         if (!config.settings().asksForList()) {
@@ -161,7 +162,8 @@
      */
     private void awaitAgent() throws IOException {
         try {
-            if (!config.settings().asksForList() && !firstList.await(AGENT.toMillis(), TimeUnit.MILLISECONDS)) {
+            if (!config.settings().asksForList()
+                    && !firstList.await(AGENT.toMillis(), TimeUnit.MILLISECONDS)) {
                 Log.warn("discovery.none", "rev", peers.rev());
             }
         } catch (InterruptedException e) {
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.IntSupplier;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
@@ -24,6 +25,8 @@
     private final LineRelay relay;
     private final Book book;
     private final Admit admit;
+    private final IntSupplier probedPeers;
+    private volatile int descriptors;
     private final Doorway doorway;
     private final TakeIn takeIn;
     private final List<Front> fronts = new CopyOnWriteArrayList<>();
@@ -40,6 +43,8 @@
         route = new Route(config, clock, timers, effects(send, probe, watch), peers::suspended);
         book.route(route);
         probe.route(route);
+        probedPeers = () -> config.settings().probes() ? peers.all().size() : 0;
+        descriptors = config.sockets();
         doorway = new Doorway(Admit.doorway(config.sockets()));
         admit = new Admit(config, clock, timers, route, tries, book);
         takeIn = new TakeIn(doorway, admit, socket -> new LineClient(socket, timers, tries, relay), relay,
@@ -119,6 +124,7 @@
     /** Discovery has told something, and these processes have ended by it. */
     public void listed(List<Peer> ended, HostList list) {
         Log.info("discovery.list", "rev", list.rev(), "all", list.all(), "targets", list.targets().size());
+        descriptors(descriptors);
         route.list(list);
         for (Peer peer : ended) {
             // Its clients are moved: the machine may never send a reset.
@@ -128,13 +134,15 @@
 
     /** So many descriptors are this process's; said again while another one takes part of them. */
     public void descriptors(int most) {
-        admit.descriptors(most);
-        doorway.room(Admit.doorway(most));
+        descriptors = most;
+        int left = most - probedPeers.getAsInt(); // each backend that is asked for its load holds one
+        admit.descriptors(left);
+        doorway.room(Admit.doorway(left));
     }
 
     /** About how many descriptors are in use. */
     public int descriptorsInUse() {
-        return admit.descriptorsInUse() + doorway.size();
+        return admit.descriptorsInUse() + doorway.size() + probedPeers.getAsInt();
     }
 
     /** Looks for backends that bring nothing back. */
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -347,6 +347,31 @@
         assertEquals("M 1 still here", first.hear());
     }
 
+    @Test
+    public void probesTakeTheirDescriptorsFromWhatRequestsMayHold() throws Exception {
+        world.close();
+        world = new World();
+        backend = world.backend();
+        String[] listed = new String[12];
+        for (int i = 0; i < listed.length; i++) {
+            listed[i] = World.target("s-" + i, backend.endpoint(), i == 0 ? "ready" : "draining");
+        }
+        world.startWith(world.config(64, World.list(1, true, listed)).replace("\"RetryAfter\":true",
+            "\"RetryAfter\":true,\"Probes\":true").replace("\"Zone\":0",
+            "\"Zone\":0,\"Report\":{\"How\":\"pull\",\"Fields\":[\"x0\",\"queue\"]}"));
+        for (int i = 0; i < 2; i++) {
+            world.open("d" + i, 20_000);
+        }
+        World.await("two are taken", () -> {
+            try (Line third = world.open("d9", 20_000)) {
+                return "BUSY 1500".equals(third.hear());
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        assertTrue(world.logged("admit.full"));
+    }
+
     @Test
     public void connectionsFromBeforeTheStartGoBackToTheirBackend() throws Exception {
         Line client = world.client().say("OPEN c1 k c=chat,t=acme,d=2000,at=s-1");
