Client gone: nothing is begun for who left before its line was read; a dial ends with it

An attempt given up while it connected kept its socket until the dial ended, up to the connect time-out. LineRelay.moved told the end before it sent MOVE: a client that spoke in that moment was hung up on by its own thread and heard no MOVE. Change: Admit looks once at what has come behind the line; Try closes the socket that dials when given up; MOVE goes out before the end is told. Discovery's socket sends without delay, as all others did already. CrossingTest's test of who left fails without the look.

--- a/relay/src/main/java/saltstage/memory/Try.java
+++ b/relay/src/main/java/saltstage/memory/Try.java
@@ -9,6 +9,7 @@
     private final RequestContext context;
     private final Peer peer;
     private final Instant sentAt;
+    private BackendConnection dialled;
     private BackendConnection backend;
     private boolean givenUp;
     private volatile Instant unansweredSince;
@@ -38,6 +39,14 @@
         return sentAt;
     }
 
+    /** Its connection is about to be made: a try that was given up by now is not begun. */
+    public synchronized void connecting(BackendConnection to) throws IOException {
+        if (givenUp) {
+            throw new IOException("given up");
+        }
+        dialled = to;
+    }
+
     /** Its connection is up; closed again at once where the try was given up meanwhile. */
     public synchronized void connected(BackendConnection to) throws IOException {
         backend = to;
@@ -57,6 +66,8 @@
         givenUp = true;
         if (backend != null) {
             backend.close();
+        } else if (dialled != null) {
+            dialled.close(); // else it would take a place at the backend, and a descriptor here, for nobody
         }
     }
 
--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -64,7 +64,7 @@
     }
 
     /** Admits a request and has it routed; the context that it became, answered already or not. */
-    RequestContext admit(LineClient client, OpenLine line) throws MalformedException {
+    RequestContext admit(LineClient client, OpenLine line) throws MalformedException, IOException {
         Instant now = clock.now();
         int serviceClass = config.serviceClass(line.field("c"));
         Terms terms = new Terms(line.id(), serviceClass, config.tenant(line.field("t")), line.key(),
@@ -72,7 +72,7 @@
         String at = line.field("at");
         Duration patience = line.patience(config.giveUp(serviceClass));
         Instant deadline = now.plus(at != null ? RESTORE : patience).minus(MARGIN);
-        if (client.lines().midLine() || client.hasUnread()) {
+        if (client.lines().moreHasCome()) {
             // Several commands at once: the first would stand, and the others would come to its backend.
             throw new MalformedException(Book.ONE_LINE);
         }
@@ -83,7 +83,11 @@
         client.asks(line);
         RequestContext context = new RequestContext(ids.incrementAndGet(), terms, deadline, client);
         book.taken();
-        if (open.size() > requests(sockets - reserved)) {
+        if (client.lines().isOver()) {
+            // Its line was read late, and it did not wait: nothing may be sent anywhere for who has left.
+            context.end(RequestContext.Phase.WAITING);
+            book.left(context);
+        } else if (open.size() > requests(sockets - reserved)) {
             // The last descriptors are for the backends of those that are already here.
             Log.warn("admit.full", "requests", open.size(), "sockets", sockets);
             book.reject(context, config.longestRetryAfter());
--- a/relay/src/main/java/saltstage/stage/LineRelay.java
+++ b/relay/src/main/java/saltstage/stage/LineRelay.java
@@ -72,7 +72,7 @@
                 }
                 boolean whole = piece[piece.length - 1] == '\n';
                 if (!whole && !midLine && up.moveReason() != null) {
-                    break; // bytes that crossed the end of reading: the client has none of them and needs its MOVE
+                    break; // it crossed the end of reading: the client has nothing of it and needs its MOVE
                 }
                 Answer answer = Answer.of(piece);
                 last = answer.kind();
@@ -112,12 +112,12 @@
 
     private Outcome moved(Try up) {
         LineClient client = client(up);
-        up.context().end(Phase.STANDING);
         try {
-            client.send("MOVE");
+            client.send("MOVE"); // before its end is told: a client that speaks in that moment is hung up on
         } catch (IOException gone) {
             up.clientEnded();
         }
+        up.context().end(Phase.STANDING);
         backend(up).close();
         client.endSending();
         timers.after(LINGER, client::close);
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -1,6 +1,7 @@
 package saltstage.stage;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.time.Instant;
@@ -65,7 +66,9 @@
             if (connect.isNegative()) {
                 return Outcome.UNREACHABLE;
             }
-            backend = LineConnection.open(peer.entry().endpoint(), connect);
+            Socket socket = new Socket();
+            begun.connecting(() -> LineConnection.close(socket));
+            backend = LineConnection.open(socket, peer.entry().endpoint(), connect);
             begun.connected(backend);
             Duration left = Duration.between(clock.now(), until);
             // Connecting takes time: the backend may have been told to drain, or the request's time be up.
--- a/relay/src/main/java/saltstage/wire/DiscoveryClient.java
+++ b/relay/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -67,6 +67,7 @@
     /** Watches the changes after a version; it ends by an exception that says why, and by nothing else. */
     public void watch(long after, Listener listener) throws IOException, MalformedException {
         try (Socket socket = begin()) {
+            socket.setTcpNoDelay(true);
             socket.connect(address, (int) CONNECT.toMillis());
             String request = "GET /discovery/hosts?watch=1&after=" + after + " HTTP/1.1\r\nHost: "
                 + address.getAddress().getHostAddress() + ":" + address.getPort()
--- a/relay/src/main/java/saltstage/wire/LineConnection.java
+++ b/relay/src/main/java/saltstage/wire/LineConnection.java
@@ -20,7 +20,12 @@
 
     /** Connects within the limit; every failure to do so is an IOException. */
     public static LineConnection open(InetSocketAddress to, Duration limit) throws IOException {
-        Socket socket = new Socket();
+        return open(new Socket(), to, limit);
+    }
+
+    /** Connects this socket within the limit; closed meanwhile, it fails at once. */
+    public static LineConnection open(Socket socket, InetSocketAddress to, Duration limit)
+            throws IOException {
         try {
             socket.connect(to, (int) Math.max(1, limit.toMillis()));
             return new LineConnection(socket);
@@ -107,6 +112,11 @@
         quietly(socket::close);
     }
 
+    /** Closes a socket, whatever it is doing. */
+    public static void close(Socket socket) {
+        quietly(socket::close);
+    }
+
     private interface Step {
         void run() throws IOException;
     }
--- a/relay/src/main/java/saltstage/wire/LineReader.java
+++ b/relay/src/main/java/saltstage/wire/LineReader.java
@@ -65,6 +65,29 @@
         return end > 0;
     }
 
+    /**
+     * Looks at what has come and was not read: true where that is more bytes, which are kept. It waits for a
+     * millisecond, the least that a socket's reader can be told to.
+     */
+    public boolean moreHasCome() throws IOException {
+        if (!midLine() && !over) {
+            socket.setSoTimeout(1);
+            try {
+                int read = in.read(buffer, 0, buffer.length);
+                over = read < 0;
+                end = Math.max(0, read);
+            } catch (SocketTimeoutException nothing) {
+                return false;
+            }
+        }
+        return midLine();
+    }
+
+    /** Whether the end of input was read. */
+    public boolean isOver() {
+        return over;
+    }
+
     private static int millisUntil(long until) throws SocketTimeoutException {
         long left = (until - System.nanoTime() + 999_999) / 1_000_000;
         if (left <= 0) {
--- a/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
+++ b/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
@@ -70,7 +70,7 @@
         return new Subscription(at(service), pushed, timers, rev::get, this::take, () -> {
             refused.incrementAndGet();
             if (!service.isClosed()) {
-                timers.after(Duration.ofMillis(10), subscription::ask); // the module's pause is not tested here
+                timers.after(Duration.ofMillis(10), subscription::ask); // the module's pause is not meant
             }
         });
     }
@@ -91,7 +91,8 @@
             socket = at.accept();
             toClose.add(socket);
             socket.setSoTimeout(30_000);
-            in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            in = new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             request = in.readLine();
             while (!in.readLine().isEmpty()) {
                 continue;
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -0,0 +1,252 @@
+package saltstage.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.FilterOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltstage.config.Configuration;
+import saltstage.memory.MonotonicClock;
+import saltstage.memory.Peers;
+import saltstage.memory.RequestContext;
+import saltstage.memory.Terms;
+import saltstage.memory.Timers;
+import saltstage.memory.Try;
+import saltstage.metrics.Counts;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+import saltstage.stage.Chain;
+import saltstage.stage.Threads;
+import saltstage.wire.HostList;
+import saltstage.wire.LineConnection;
+
+/** Two events that cross: the stages on real connections, each halted where the other must come. */
+@Timeout(60)
+class CrossingTest {
+    private final MonotonicClock clock = new MonotonicClock();
+    private final Timers timers = new Timers(clock);
+    private Service backend;
+    private Chain chain;
+
+    /** What happens at a named point of the relay's own socket to a client. */
+    private interface Halt {
+        void at(String step) throws IOException;
+    }
+
+    /** A client's socket as the relay holds it; each write, half-close and close halts first. */
+    private static final class Halted extends Socket {
+        private volatile Halt halt = step -> { };
+
+        @Override
+        public OutputStream getOutputStream() throws IOException {
+            return new FilterOutputStream(super.getOutputStream()) {
+                @Override
+                public void write(byte[] bytes, int from, int most) throws IOException {
+                    halt.at(new String(bytes, from, most, StandardCharsets.ISO_8859_1).trim());
+                    out.write(bytes, from, most);
+                }
+            };
+        }
+
+        @Override
+        public void shutdownOutput() throws IOException {
+            halt.at("half-close");
+            super.shutdownOutput();
+        }
+    }
+
+    private interface Early {
+        void with(Line line) throws IOException;
+    }
+
+    /** A client with both ends of its connection. */
+    private record Client(Line line, Halted atRelay) { }
+
+    @BeforeEach
+    void begin() throws Exception {
+        backend = new Service();
+        String ready = World.target("s-1", backend.endpoint(), "ready");
+        Configuration config = Configuration.of(World.config(1, "127.0.0.1:1", 4096,
+            World.list(1, true, ready)));
+        Peers peers = new Peers();
+        Counts counts = new Counts(config.classes());
+        chain = new Chain(config, clock, timers, peers, counts, () -> { });
+        HostList known = config.known();
+        peers.update(known);
+        Threads.loop("timers", () -> timers.next().run());
+        chain.route().start(known);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        backend.close();
+    }
+
+    private Client client() throws IOException {
+        return client(line -> { });
+    }
+
+    /** A client that does this before the relay has accepted it. */
+    private Client client(Early early) throws IOException {
+        Halted halted = new Halted();
+        try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()) {
+            @Override
+            public Socket accept() throws IOException {
+                implAccept(halted);
+                return halted;
+            }
+        }) {
+            Line line = new Line(new Socket(door.getInetAddress(), door.getLocalPort()));
+            early.with(line);
+            chain.takeIn().accept(door.accept());
+            return new Client(line, halted);
+        }
+    }
+
+    private static void until(BooleanSupplier condition) throws IOException {
+        try {
+            World.await("the other event came", condition);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private Line stand(Client client, String id) throws IOException {
+        client.line().say("OPEN " + id + " k c=chat,t=acme,d=9000");
+        Line side = backend.accept();
+        assertTrue(side.hear().startsWith("OPEN " + id));
+        side.say("UP r1");
+        assertEquals("UP r1", client.line().hear());
+        return side;
+    }
+
+    @Test
+    void clientThatSpeaksInTheMomentOfItsMoveStillHearsIt() throws Exception {
+        Client client = client();
+        Line side = stand(client, "a1");
+        CountDownLatch hungUp = new CountDownLatch(1);
+        BlockingQueue<String> passedOn = new LinkedBlockingQueue<>();
+        client.atRelay().halt = step -> {
+            if (step.equals("half-close")) {
+                hungUp.countDown();
+            } else if (step.equals("MOVE")) {
+                client.line().say("M 1 in that moment");
+                World.aside(() -> passedOn.add(String.valueOf(side.hear())));
+                until(() -> !passedOn.isEmpty() || hungUp.getCount() == 0);
+            }
+        };
+        chain.move(chain.book().standing().iterator().next(), "balance");
+        assertEquals("MOVE", client.line().hear());
+        assertNull(client.line().hear());
+        assertEquals("M 1 in that moment", passedOn.take());
+    }
+
+    @Test
+    void halfALineThatCrossesTheEndOfReadingIsDroppedBeforeMove() throws Exception {
+        Client client = client();
+        Line side = stand(client, "a2");
+        side.raw("M 1 whole\r\nM 2 ha");
+        assertEquals("M 1 whole", client.line().hear());
+        chain.move(chain.book().standing().iterator().next(), "balance");
+        assertEquals("MOVE", client.line().hear());
+        assertNull(client.line().hear());
+    }
+
+    /** Whether the thread that reads a backend waits for more of a line. */
+    private static boolean waitsForTheRest() {
+        return Thread.getAllStackTraces().values().stream().anyMatch(stack -> {
+            String calls = Arrays.toString(stack);
+            return calls.contains("LineRelay.pump") && calls.contains("NioSocketImpl.implRead");
+        });
+    }
+
+    @Test
+    void lineThatIsEndedInTheMomentOfTheMoveComesBeforeIt() throws Exception {
+        Client client = client();
+        Line side = stand(client, "a3");
+        side.raw("M 1 whole\r\nM 2 ha");
+        assertEquals("M 1 whole", client.line().hear());
+        World.await("the rest is waited for", CrossingTest::waitsForTheRest);
+        chain.move(chain.book().standing().iterator().next(), "balance");
+        side.say("lf");
+        assertEquals("M 2 half", client.line().hear());
+        assertEquals("MOVE", client.line().hear());
+    }
+
+    @Test
+    void attemptOfAClientThatLeftIsNotBegunAndOneThatConnectsEndsAtOnce() throws Exception {
+        Try left = attempt();
+        left.giveUp();
+        assertThrows(IOException.class, () -> left.connecting(() -> { }));
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress to = (InetSocketAddress) full.getLocalSocketAddress();
+            Socket[] fillers = new Socket[3]; // two wait to be accepted, the third is not answered
+            for (int i = 0; i < fillers.length; i++) {
+                fillers[i] = new Socket();
+                Socket filler = fillers[i];
+                World.aside(() -> {
+                    try {
+                        filler.connect(to);
+                    } catch (IOException closed) {
+                        return false;
+                    }
+                    return true;
+                });
+            }
+            World.await("the queue is full", () -> fillers[0].isConnected() || fillers[1].isConnected());
+            Try connects = attempt();
+            Socket socket = new Socket();
+            connects.connecting(() -> LineConnection.close(socket));
+            BlockingQueue<Exception> ended = World.aside(() -> assertThrows(IOException.class, () -> {
+                LineConnection.open(socket, to, Duration.ofMinutes(10));
+                connects.connected(() -> { });
+            }));
+            connects.giveUp();
+            ended.take();
+            assertTrue(socket.isClosed());
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    private Try attempt() {
+        Peers peers = new Peers();
+        try {
+            peers.update(Configuration.of(World.config(1, "127.0.0.1:1", 4096,
+                World.list(1, true, World.target("s-1", backend.endpoint(), "ready")))).known());
+        } catch (saltstage.wire.MalformedException bad) {
+            throw new IllegalStateException(bad);
+        }
+        return new RequestContext(1, new Terms("x", 0, 0, "k", null, 0, false), clock.now(), null)
+            .begin(peers.find("s-1"), clock.now());
+    }
+
+    @Test
+    void clientThatHasLeftBeforeItsLineIsReadHasNoAttempt() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            String ask = "OPEN b" + i + " k c=chat,t=acme,d=9000";
+            client(line -> line.say(ask).close());
+        }
+        Client last = client();
+        stand(last, "c1"); // the first that the backend hears of
+    }
+}
