Start: SIGHUP that comes early is kept, SIGTERM that comes early is a planned end

Cause: Main took SIGHUP only after the configuration had been read; before that the JVM's own handler ended the process (a fleet that is told of a new configuration while some relays restart loses those). And Program counted as failed until its start was over, so SIGTERM while it waited for the first list ended it with the signal's code, as if it had crashed. Change: Hangups takes the signal as the first thing that main does and obeys it after the start; a start counts as failed only when it threw. Seen: both tests of StartTest fail on the code before, the first with the process gone while it reads a configuration that the test holds back, the second with another exit code than 0.

--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -21,7 +21,6 @@
 import saltstage.sim.Malformed;
 import saltstage.sim.WireHost;
 import saltstage.wire.MalformedException;
-import sun.misc.Signal;
 
 /** The command line. */
 @Command(name = "saltstage", description = "A relay for long-lived connections.",
@@ -29,12 +28,17 @@
     subcommands = {Main.Serve.class, Main.Check.class, Main.Wirehost.class, Main.ShowVersion.class,
         CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
+    private static final Hangups HANGUPS = new Hangups();
     private static final int FAILED = 1;
     private static final int USAGE = 2;
 
     /** Exits 0 when done, 1 on bad configuration or input, 2 on a wrong command line. */
     public static void main(String[] args) {
-        System.exit(commandLine(args.length > 0 && args[0].equals("serve")).execute(args));
+        boolean serving = args.length > 0 && args[0].equals("serve");
+        if (serving) {
+            HANGUPS.begin(); // before anything that takes time
+        }
+        System.exit(commandLine(serving).execute(args));
     }
 
     /** A relay that restarts on half a core does not read the commands that it cannot be asked for. */
@@ -113,14 +117,13 @@
             OperatorSettings chosen = settings.read();
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
             Program program = new Program(config.read(), chosen, Surroundings.of(System.getenv()));
-            // The JVM's own handler ends the process on SIGHUP: all connections would die with it.
-            Signal.handle(new Signal("HUP"), hangup -> program.reload(config::read, settings::read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 if (program.drain()) {
                     Runtime.getRuntime().halt(0); // a planned end is no failure
                 }
             }, "drain"));
             program.start();
+            HANGUPS.obey(() -> program.reload(config::read, settings::read));
             new CountDownLatch(1).await();
             return 0;
         }
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -105,9 +105,12 @@
 
     /** Starts to serve; clients are heard from the return on. */
     void start() throws IOException {
-        failed = true;
-        begin();
-        failed = false;
+        try {
+            begin();
+        } catch (IOException | RuntimeException bad) {
+            failed = true;
+            throw bad;
+        }
     }
 
     private void begin() throws IOException {
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/StartTest.java
@@ -0,0 +1,83 @@
+package saltstage.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltstage.process.World.Line;
+import saltstage.process.World.Service;
+
+/** Signals that come while the relay starts; where it is then is known by what it waits for. */
+@Timeout(60)
+class StartTest {
+    private World world;
+    private Path file;
+    private Process process;
+
+    @BeforeEach
+    void begin() throws Exception {
+        world = new World();
+        file = Files.createTempDirectory("saltstage").resolve("config.json");
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        process.destroyForcibly().waitFor();
+        world.close();
+        World.delete(file.getParent());
+    }
+
+    private void launch() throws Exception {
+        process = World.program(List.of("serve", "--config", file.toString())).redirectErrorStream(true)
+            .redirectInput(new File("/dev/null")).redirectOutput(log().toFile()).start();
+    }
+
+    private Path log() {
+        return file.resolveSibling("log");
+    }
+
+    private void signal(String name) throws Exception {
+        done("kill", "-" + name, Long.toString(process.pid()));
+    }
+
+    private static void done(String... command) throws Exception {
+        assertEquals(0, new ProcessBuilder(command).start().waitFor());
+    }
+
+    @Test
+    void hangupBeforeTheConfigurationIsReadIsObeyedAfterTheStart() throws Exception {
+        Service moved = world.backend();
+        done("mkfifo", file.toString());
+        launch();
+        String config = world.config(4096, World.list(1, true));
+        try (var opened = Files.newOutputStream(file)) { // opened only once the relay reads
+            signal("HUP");
+            opened.write(config.getBytes());
+        }
+        world.discovery.accept().close(); // it has read that and is on its way
+        Files.writeString(file, world.config(4096, moved, World.list(1, true))); // waits for a reader
+        try (Line watch = moved.accept()) {
+            assertTrue(watch.hear().startsWith("GET /discovery/hosts?watch=1"));
+        }
+        assertTrue(process.isAlive());
+    }
+
+    @Test
+    void terminationBeforeTheFirstListIsAPlannedEnd() throws Exception {
+        Files.writeString(file, world.config(4096, World.list(1, true)).replace("on_request", "pushed"));
+        launch();
+        try (Line agent = world.discovery.accept()) { // silent: the start waits for it
+            signal("TERM");
+            assertTrue(process.waitFor(World.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue(), Files.readString(log()));
+        }
+    }
+}
