Doorway: who is turned away as it asks is not sent on; who rests at the end is told so

Cause: Admit.turnAway answered and closed a client that was picked in the doorway while its own thread might have read its line already: the request went out to a backend though its client had been told BUSY. At the end of a drain resting connections were cut off by the end of the process, and what they asked in that moment with them. One that had said nothing for 2 s got ERR: crossing a request, that is a failed answer to one that was never sent on. Change: a client is turned away or has asked, whichever comes first (LineClient.Turn). Drain tells those that rest, half-closes and gives them 0.4 s to hang up. A silent client gets BUSY; half a line still gets ERR.

--- a/relay/src/main/java/saltstage/amqp/AmqpFront.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpFront.java
@@ -187,6 +187,11 @@
         }
     }
 
+    @Override
+    public void turnAway() {
+        leave(); // a connection without links was told by that
+    }
+
     /** Whether the relay leaves. */
     boolean leaving() {
         return leaving;
--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -24,6 +24,8 @@
     private static final Duration AFTER_MOVES = Duration.ofMillis(800);
     /** New clients come for up to 0.4 s more; the front then sends them elsewhere. */
     private static final Duration AT_LEAST = Duration.ofMillis(900);
+    /** So long who has been told that the relay ends may take to hang up. */
+    private static final Duration HANG_UP = Duration.ofMillis(400);
     private static final Duration STEP = Duration.ofMillis(50);
 
     private final MonotonicClock clock;
@@ -57,10 +59,15 @@
             while (since().compareTo(over) < 0 && !done()) {
                 moveSome();
                 if (since().compareTo(over.minus(AFTER_MOVES)) >= 0) {
-                    chain.rejectWaiting(); // each time: who asks after the first one has to be answered too
+                    refuse();
                 }
                 Thread.sleep(STEP.toMillis());
             }
+            Duration until = since().plus(HANG_UP);
+            while (clients() > 0 && since().compareTo(until) < 0) {
+                refuse();
+                Thread.sleep(STEP.toMillis());
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -68,6 +75,12 @@
             "clients", clients(), "after_ms", since().toMillis());
     }
 
+    /** Each time: who comes or asks after the first one has to be answered too. */
+    private void refuse() {
+        chain.rejectWaiting();
+        chain.fronts().forEach(Front::turnAway);
+    }
+
     private static Duration notNegative(Duration span) {
         return span.isNegative() ? Duration.ZERO : span;
     }
--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -63,7 +63,7 @@
         return (sockets - RESERVED_SOCKETS - doorway(sockets)) / 2;
     }
 
-    /** Admits a request and has it routed; the context that it became, answered already or not. */
+    /** Admits a request and has it routed; null where its client was turned away in that moment. */
     RequestContext admit(LineClient client, OpenLine line) throws MalformedException, IOException {
         Instant now = clock.now();
         int serviceClass = config.serviceClass(line.field("c"));
@@ -80,7 +80,10 @@
             // Passed on, another's id would be a second copy of that request at a backend.
             throw new MalformedException("id is in use");
         }
-        client.asks(line);
+        if (!client.asks(line)) {
+            open.remove(line.id());
+            return null;
+        }
         RequestContext context = new RequestContext(ids.incrementAndGet(), terms, deadline, client);
         book.taken();
         if (client.lines().isOver()) {
@@ -150,13 +153,16 @@
         }
     }
 
-    /** There is no room or no thread for this client: it is told to come again, by the accepting thread. */
+    /**
+     * There is no room or no thread for this client: it is told to come again, by the accepting thread. One
+     * that has asked meanwhile is not touched: its request may be out, and it will get its own answer.
+     */
     void turnAway(LineClient client) {
-        try {
-            client.send("BUSY " + config.longestRetryAfter().toMillis()); // few bytes: this does not block
-        } catch (IOException gone) {
-            Log.info("client.broken", "why", gone.getMessage());
+        if (client.turnsAway()) {
+            book.tell(client, "BUSY " + config.longestRetryAfter().toMillis()); // few bytes: does not block
+        }
+        if (!client.hasAsked()) {
+            client.close();
         }
-        client.close();
     }
 }
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -97,13 +97,24 @@
         return true;
     }
 
-    /** One error line and the end, for a client whose first line is no request. */
-    void turnAway(LineClient client, String event, String line) throws IOException {
-        Log.warn(event, "from", client.remote(), "answer", line);
-        client.send(line);
+    /** One line and the end, for a client whose first line is no request or has not come. */
+    void turnAway(LineClient client, String event, String line) {
+        if (client.turnsAway()) {
+            Log.warn(event, "from", client.remote(), "answer", line);
+            tell(client, line);
+        }
         client.endAnswered(LINGER, MOST_IGNORED);
     }
 
+    /** A line that is not waited for. */
+    void tell(LineClient client, String line) {
+        try {
+            client.send(line);
+        } catch (IOException gone) {
+            Log.info("client.broken", "why", gone.getMessage());
+        }
+    }
+
     /** The client left before its answer: the try is given up, and who makes it books its end. */
     public void left(RequestContext context) {
         left.incrementAndGet();
--- a/relay/src/main/java/saltstage/stage/Doorway.java
+++ b/relay/src/main/java/saltstage/stage/Doorway.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -50,6 +51,11 @@
         return inside.remove(client);
     }
 
+    /** Those that are inside now. */
+    synchronized List<LineClient> all() {
+        return List.copyOf(inside);
+    }
+
     /** How many are inside. */
     synchronized int size() {
         return inside.size();
--- a/relay/src/main/java/saltstage/stage/Front.java
+++ b/relay/src/main/java/saltstage/stage/Front.java
@@ -5,6 +5,9 @@
     /** The relay leaves: newcomers shall look elsewhere, as far as the protocol can tell them. */
     void leave();
 
+    /** The relay is about to end: who is connected and has no request is told so; never blocks. */
+    void turnAway();
+
     /** How many clients are connected, with a request and without. */
     int clients();
 
--- a/relay/src/main/java/saltstage/stage/TakeIn.java
+++ b/relay/src/main/java/saltstage/stage/TakeIn.java
@@ -42,6 +42,16 @@
         leaving = true;
     }
 
+    @Override
+    public void turnAway() {
+        for (LineClient client : doorway.all()) {
+            if (client.turnsAway()) {
+                book.tell(client, "BUSY");
+                client.endSending(); // its thread reads on: a close over unread bytes would take this back
+            }
+        }
+    }
+
     /** Takes an accepted socket; never blocks. */
     public void accept(Socket socket) throws IOException {
         LineClient client;
@@ -102,6 +112,9 @@
                 String line = OpenLine.text(piece);
                 if (!line.equals("PING")) {
                     RequestContext context = admit.admit(client, OpenLine.parse(line));
+                    if (context == null) { // turned away in that moment: what it asks has its answer
+                        client.endAnswered(Book.LINGER, Book.MOST_IGNORED);
+                    }
                     doorway.leave(client);
                     return context;
                 }
@@ -111,7 +124,9 @@
                 client.send(leaving ? "ERR leaving" : "PONG");
             }
         } catch (SocketTimeoutException slow) {
-            book.turnAway(client, "client.silent", "ERR first line too slow");
+            // Who has said nothing may ask in this moment: that it was refused is true of what it asks too.
+            book.turnAway(client, "client.silent",
+                client.lines().midLine() ? "ERR first line too slow" : "BUSY");
         } catch (MalformedException bad) {
             // Bad input must cost one line, be seen in the log and never reach a backend.
             book.turnAway(client, "client.malformed", "ERR " + bad.getMessage());
--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.FilterInputStream;
 import java.io.FilterOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -66,6 +68,18 @@
             };
         }
 
+        @Override
+        public InputStream getInputStream() throws IOException {
+            return new FilterInputStream(super.getInputStream()) {
+                @Override
+                public int read(byte[] bytes, int from, int most) throws IOException {
+                    int read = in.read(bytes, from, most);
+                    halt.at("has read");
+                    return read;
+                }
+            };
+        }
+
         @Override
         public void shutdownOutput() throws IOException {
             halt.at("half-close");
@@ -249,4 +263,39 @@
         Client last = client();
         stand(last, "c1"); // the first that the backend hears of
     }
+
+    @Test
+    void requestThatIsReadInTheMomentItsClientIsTurnedAwayIsNotSentOn() throws Exception {
+        Client client = client();
+        client.atRelay().halt = step -> {
+            if (step.equals("has read")) {
+                chain.takeIn().turnAway();
+            }
+        };
+        client.line().say("OPEN d1 k c=chat,t=acme,d=9000");
+        assertEquals("BUSY", client.line().hear());
+        assertNull(client.line().hear());
+        stand(client(), "d1"); // its id is free, and the backend heard of nobody before
+    }
+
+    @Test
+    void restingClientThatAsksAfterItWasTurnedAwayKeepsItsAnswer() throws Exception {
+        Client client = client();
+        chain.takeIn().turnAway();
+        client.line().say("OPEN e1 k c=chat,t=acme,d=9000");
+        assertEquals("BUSY", client.line().hear());
+        assertNull(client.line().hear());
+        stand(client(), "e2");
+    }
+
+    @Test
+    void clientThatHasAskedIsNotTurnedAwayAnyMore() throws Exception {
+        Client client = client();
+        client.line().say("OPEN f1 k c=chat,t=acme,d=9000");
+        Line side = backend.accept();
+        chain.takeIn().turnAway();
+        assertTrue(side.hear().startsWith("OPEN f1"));
+        side.say("UP r1");
+        assertEquals("UP r1", client.line().hear());
+    }
 }
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -80,6 +80,15 @@
         assertEquals("ERR first line too slow", heard);
     }
 
+    @Test
+    public void whoSaysNothingIsRefusedNotFailedAsItMayAskInThatMoment() throws Exception {
+        Line client = world.client();
+        assertEquals("BUSY", client.hear());
+        client.say("OPEN p0 k c=chat,t=acme,d=2000");
+        assertNull(client.hear());
+        assertTrue(backend.nobodyComesFor(100));
+    }
+
     @Test
     public void pingIsAnsweredAndMayGoBeforeARequest() throws Exception {
         Line client = world.client().say("PING");
@@ -199,6 +208,18 @@
         assertTrue(world.waitForEnd());
     }
 
+    @Test
+    public void clientThatRestsAtTheEndIsToldSoAndHungUpOnWithoutAReset() throws Exception {
+        Line rests = world.client();
+        assertEquals("PONG", rests.say("PING").hear());
+        world.process().toHandle().destroy();
+        assertEquals("BUSY", rests.hear());
+        rests.say("OPEN c9 k c=chat,t=acme,d=2000");
+        assertNull(rests.hear());
+        assertTrue(world.waitForEnd());
+        assertTrue(backend.nobodyComesFor(100));
+    }
+
     @Test
     public void clientsAreServedOnAfterTerminationBeforeTheyAreMoved() throws Exception {
         Line client = world.open("a9", 20_000);
