Drain: what is out at the end is given up, and refused only where coming again is harmless

Cause: Chain.rejectWaiting answered BUSY to all that waited, also to classes whose repeats are not harmless and whose attempt had been written, and left that attempt out at its backend: its client could come again elsewhere while the first copy still ran. Change: Book.leave gives up the attempt that is out and fails what may have run in such classes.

--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import saltstage.Api.Effect;
 import saltstage.Api.Outcome;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
@@ -64,12 +65,47 @@
     /** The final answer 'refused', with the advice when to come again. */
     void reject(RequestContext context, Duration retryAfter) {
         if (context.end(Phase.WAITING)) {
-            rejected.incrementAndGet();
-            counts.ended(context.terms().serviceClass(), Counts.End.DROPPED);
-            context.client().refused(retryAfter);
+            tellRejected(context, retryAfter);
         }
     }
 
+    private void tellRejected(RequestContext context, Duration retryAfter) {
+        rejected.incrementAndGet();
+        counts.ended(context.terms().serviceClass(), Counts.End.DROPPED);
+        context.client().refused(retryAfter);
+    }
+
+    private void tellFailed(RequestContext context, String why) {
+        failed.incrementAndGet();
+        counts.ended(context.terms().serviceClass(), Counts.End.BAD_GATEWAY);
+        context.client().failed(why);
+    }
+
+    private static void giveUp(Try out) {
+        if (out != null) {
+            out.giveUp();
+        }
+    }
+
+    /**
+     * The relay leaves: what waits gets its final answer, and the try that is out is given up. What may have
+     * run is refused only where it may simply be repeated; the module hears of no end that it could act on.
+     */
+    void leave(RequestContext context) {
+        if (!context.end(Phase.WAITING)) {
+            return;
+        }
+        Try out = context.current(); // the last one: who has ended begins none
+        boolean harmless = config.settings().classes().get(context.terms().serviceClass()).effect()
+            == Effect.SAFE;
+        if (out == null || harmless) {
+            tellRejected(context, Duration.ZERO);
+        } else {
+            tellFailed(context, "failed");
+        }
+        giveUp(out);
+    }
+
     /** The final answer that promises nothing. */
     public void fail(RequestContext context) {
         fail(context, "failed");
@@ -87,13 +123,8 @@
         if (!context.end(Phase.WAITING)) {
             return false;
         }
-        failed.incrementAndGet();
-        counts.ended(context.terms().serviceClass(), Counts.End.BAD_GATEWAY);
-        context.client().failed(why);
-        Try out = context.current();
-        if (out != null) {
-            out.giveUp();
-        }
+        tellFailed(context, why);
+        giveUp(context.current());
         return true;
     }
 
@@ -120,9 +151,7 @@
         left.incrementAndGet();
         Try out = context.current();
         route.left(context);
-        if (out != null) {
-            out.giveUp();
-        }
+        giveUp(out);
     }
 
     /** The module sent what could not be sent: the peer has left the list, or nothing is owed any more. */
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -160,8 +160,8 @@
         book.logTotals(fronts.stream().mapToInt(Front::clients).sum(), more);
     }
 
-    /** The relay leaves: what still waits is rejected, and may come again elsewhere at once. */
+    /** The relay leaves: what still waits is answered, and may mostly come again elsewhere at once. */
     public void rejectWaiting() {
-        route.all().forEach(context -> book.reject(context, Duration.ZERO));
+        route.all().forEach(book::leave);
     }
 }
--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -97,9 +97,13 @@
     @BeforeEach
     void begin() throws Exception {
         backend = new Service();
+        begin("retryable");
+    }
+
+    private void begin(String effect) throws Exception {
         String ready = World.target("s-1", backend.endpoint(), "ready");
         Configuration config = Configuration.of(World.config(1, "127.0.0.1:1", 4096,
-            World.list(1, true, ready)));
+            World.list(1, true, ready)).replace("retryable", effect));
         Peers peers = new Peers();
         Counts counts = new Counts(config.classes());
         chain = new Chain(config, clock, timers, peers, counts, () -> { });
@@ -298,4 +302,19 @@
         side.say("UP r1");
         assertEquals("UP r1", client.line().hear());
     }
+
+    @Test
+    void whatIsOutAtTheEndIsGivenUpAndRefusedOnlyWhereThatIsHarmless() throws Exception {
+        for (String effect : new String[] {"retryable", "fragile", "dedup"}) {
+            begin(effect);
+            Client client = client();
+            client.line().say("OPEN g1 k c=chat,t=acme,d=9000");
+            Line side = backend.accept();
+            assertTrue(side.hear().startsWith("OPEN g1"));
+            chain.rejectWaiting();
+            assertEquals(effect.equals("retryable") ? "BUSY" : "ERR failed", client.line().hear());
+            assertNull(client.line().hear());
+            assertNull(side.hear(), "its backend may not take it any more");
+        }
+    }
 }
