Tests: what is unread, answered or new as all are turned away, forced each time

Taking the guards out one by one had shown that three of the tests passed without them: a close in place of the half-close, a second answer to who has asked, a single round of refusals. They now bring the bad order about by halting the relay's own socket, and by several newcomers.

--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -283,24 +283,34 @@
     }
 
     @Test
-    void restingClientThatAsksAfterItWasTurnedAwayKeepsItsAnswer() throws Exception {
+    void whatIsUnreadAsItsClientIsTurnedAwayDoesNotTakeTheAnswerWithIt() throws Exception {
         Client client = client();
-        chain.takeIn().turnAway();
-        client.line().say("OPEN e1 k c=chat,t=acme,d=9000");
+        client.atRelay().halt = step -> {
+            if (step.equals("has read")) {
+                client.atRelay().halt = next -> { };
+                client.line().say("e1 k c=chat,t=acme,d=9000");
+                chain.takeIn().turnAway();
+            }
+        };
+        client.line().raw("OPEN ");
         assertEquals("BUSY", client.line().hear());
         assertNull(client.line().hear());
         stand(client(), "e2");
     }
 
     @Test
-    void clientThatHasAskedIsNotTurnedAwayAnyMore() throws Exception {
+    void clientThatIsAnsweredAsAllAreTurnedAwayHearsOneAnswer() throws Exception {
+        chain.descriptors(0);
         Client client = client();
+        client.atRelay().halt = step -> {
+            if (step.startsWith("BUSY 1500")) {
+                client.atRelay().halt = next -> { };
+                chain.takeIn().turnAway();
+            }
+        };
         client.line().say("OPEN f1 k c=chat,t=acme,d=9000");
-        Line side = backend.accept();
-        chain.takeIn().turnAway();
-        assertTrue(side.hear().startsWith("OPEN f1"));
-        side.say("UP r1");
-        assertEquals("UP r1", client.line().hear());
+        assertEquals("BUSY 1500", client.line().hear());
+        assertNull(client.line().hear());
     }
 
     @Test
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -202,9 +202,11 @@
         backend.accept().hear(); // and never answers
         world.process().toHandle().destroy();
         assertEquals("BUSY", waits.hear());
-        Line late = world.open("b1", 20_000);
-        assertEquals("BUSY", late.hear());
-        assertNull(late.hear());
+        for (int i = 0; i < 5; i++) {
+            Line late = world.open("b" + i, 20_000);
+            assertEquals("BUSY", late.hear());
+            assertNull(late.hear());
+        }
         assertTrue(world.waitForEnd());
     }
 
