Discovery: a change is heard within 6 s also where the first call after a silence hangs

Cause: by the constants a silent watch was noticed after 3 s, followed by a pause of up to 1.5 s, a call passed over after 1.5 s and a pause of up to 3 s: 9 s where that call hung, and a change counts as told after 6. Change: silence counts from 2.5 s on (empty lines come every 2 s), a call is passed over after 1.25 s, and the module's pauses begin at 0.25 to 0.75 s; they still grow to 3 s, so that a service that is down is not flooded.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -156,8 +156,8 @@
     public void list(long at, Listing kind, List<Server> servers) {
         now = at;
         if (kind == Listing.REFUSED) {
-            refusals = Math.min(refusals + 1, 2); // 3 s at most: on sockets a change counts as told after 6
             act.timer("list", (long) (LIST_PAUSE * (1 << refusals) * (0.5 + random.nextDouble())));
+            refusals = Math.min(refusals + 1, 2); // 3 s at most: on sockets a change counts as told after 6
             return;
         }
         refusals = kind == Listing.REMEMBERED ? refusals : 0;
--- a/relay/src/main/java/saltstage/lifecycle/Subscription.java
+++ b/relay/src/main/java/saltstage/lifecycle/Subscription.java
@@ -22,7 +22,7 @@
  */
 final class Subscription {
     /** A change counts as told after 6 s: this, the module's longest pause (3 s) and an answer fit in. */
-    private static final Duration UNANSWERED = Duration.ofMillis(1_500);
+    static final Duration UNANSWERED = Duration.ofMillis(1_250);
     /** An agent on the relay's machine answers at once, at no cost; what it has counts as told at once. */
     private static final Duration AGENT_UNANSWERED = Duration.ofMillis(500);
     private static final Duration AGENT_PAUSE = Duration.ofMillis(100);
--- a/relay/src/main/java/saltstage/wire/DiscoveryClient.java
+++ b/relay/src/main/java/saltstage/wire/DiscoveryClient.java
@@ -14,8 +14,11 @@
  * between them. A watch that brings neither for a while is broken, whatever else it sends.
  */
 public final class DiscoveryClient {
-    /** An empty line comes every 2 s; told counts as told after 6 s: silence must be noticed between. */
-    private static final Duration SILENCE = Duration.ofSeconds(3);
+    /**
+     * An empty line comes every 2 s. What a silent watch misses counts as told 6 s after its silence: this,
+     * the module's first pause, one call in vain and the next pause have to fit in.
+     */
+    public static final Duration SILENCE = Duration.ofMillis(2_500);
     private static final Duration CONNECT = Duration.ofSeconds(1);
     /** Times the silence that a first answer may take: a service that works through calls in turn is slow. */
     private static final int PATIENCE = 4;
