Repeats: one whose connection comes up after the window is not sent

Cause: the module asks whether a keyed request may still be repeated when it chooses the next backend; the line is written when the connection is up, and that may be as much later as a connection may take. Change: LineTry looks again just before it writes, as it does for drains; RequestContext keeps when the first attempt that may have run was sent. A relay that leaves refuses keyed requests whose repeats all discard. Measured: CrossingTest holds the connection back until the window is over, and until a backend has been told to drain; each fails without its look (tried after this).

--- a/relay/src/main/java/saltstage/memory/RequestContext.java
+++ b/relay/src/main/java/saltstage/memory/RequestContext.java
@@ -13,6 +13,7 @@
     private final ClientConnection client;
     private Phase phase = Phase.WAITING;
     private Try current;
+    private Instant mayHaveRunSince;
 
     /** A request that was just taken. */
     public RequestContext(long id, Terms terms, Instant deadline, ClientConnection client) {
@@ -61,6 +62,16 @@
         return current;
     }
 
+    /** A try that was sent then may have had its effect. */
+    public synchronized void mayHaveRun(Instant sentAt) {
+        mayHaveRunSince = mayHaveRunSince == null ? sentAt : mayHaveRunSince;
+    }
+
+    /** When the first try that may have had its effect was sent, or null. */
+    public synchronized Instant mayHaveRunSince() {
+        return mayHaveRunSince;
+    }
+
     /** The first UP wins: from here on the connection stands. */
     public synchronized boolean stand() {
         if (phase != Phase.WAITING) {
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import saltstage.Api.Effect;
 import saltstage.Api.Outcome;
+import saltstage.Api.Scope;
+import saltstage.Api.ServiceClass;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
@@ -96,8 +98,9 @@
             return;
         }
         Try out = context.current(); // the last one: who has ended begins none
-        boolean harmless = config.settings().classes().get(context.terms().serviceClass()).effect()
-            == Effect.SAFE;
+        ServiceClass service = config.settings().classes().get(context.terms().serviceClass());
+        boolean harmless = service.effect() == Effect.SAFE
+            || service.effect() == Effect.KEYED && service.scope() == Scope.ALL;
         if (out == null || harmless) {
             tellRejected(context, Duration.ZERO);
         } else {
@@ -161,6 +164,9 @@
 
     /** A try ended before it stood. */
     public void ended(Try ended, Outcome outcome) {
+        if (!outcome.neverRan()) {
+            ended.context().mayHaveRun(ended.sentAt());
+        }
         boolean over = ended.context().phase() == Phase.ENDED;
         route.outcome(ended.context(), over ? Outcome.CANCELLED : outcome, over);
     }
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -5,7 +5,10 @@
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import saltstage.Api.Effect;
 import saltstage.Api.Outcome;
+import saltstage.Api.ServiceClass;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
 import saltstage.memory.MonotonicClock;
@@ -72,8 +75,8 @@
             begun.connected(backend);
             Duration left = Duration.between(clock.now(), until);
             // Connecting takes time: the backend may have been told to drain, or the request's time be up.
-            if (peer.suspended()) {
-                return Outcome.MOOT; // by hand, while this connected: nothing against the backend
+            if (peer.suspended() || repeatsTooLate(begun.context())) {
+                return Outcome.MOOT; // it came about while this connected: nothing against the backend
             }
             if (!restore && !peer.takesNew() || left.isNegative() || left.isZero()) {
                 return Outcome.UNREACHABLE;
@@ -93,6 +96,14 @@
         }
     }
 
+    /** Repeats are discarded for so long only; the module asked that before the connection came up. */
+    private boolean repeatsTooLate(RequestContext context) {
+        ServiceClass service = config.settings().classes().get(context.terms().serviceClass());
+        Instant since = context.mayHaveRunSince();
+        return since != null && service.effect() == Effect.KEYED
+            && !clock.now().isBefore(since.plus(service.memory(), ChronoUnit.MICROS));
+    }
+
     private Outcome judge(Try begun, byte[] piece, boolean restore) {
         Answer answer = Answer.of(piece);
         switch (answer.kind()) {
--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -1,6 +1,7 @@
 package saltstage.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +17,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -38,6 +41,7 @@
 import saltstage.stage.Chain;
 import saltstage.stage.Threads;
 import saltstage.wire.HostList;
+import saltstage.wire.Json;
 import saltstage.wire.LineConnection;
 
 /** Two events that cross: the stages on real connections, each halted where the other must come. */
@@ -46,6 +50,7 @@
     private final MonotonicClock clock = new MonotonicClock();
     private final Timers timers = new Timers(clock);
     private Service backend;
+    private Peers peers;
     private Chain chain;
 
     /** What happens at a named point of the relay's own socket to a client. */
@@ -56,6 +61,7 @@
     /** A client's socket as the relay holds it; each write, half-close and close halts first. */
     private static final class Halted extends Socket {
         private volatile Halt halt = step -> { };
+        private volatile boolean closedOverUnread;
 
         @Override
         public OutputStream getOutputStream() throws IOException {
@@ -80,6 +86,13 @@
             };
         }
 
+        /** What is unread then makes the system reset the connection, and what was sent may go with it. */
+        @Override
+        public void close() throws IOException {
+            closedOverUnread |= !isClosed() && super.getInputStream().available() > 0;
+            super.close();
+        }
+
         @Override
         public void shutdownOutput() throws IOException {
             halt.at("half-close");
@@ -97,20 +110,25 @@
     @BeforeEach
     void begin() throws Exception {
         backend = new Service();
-        begin("retryable");
+        begin("retryable", backend.endpoint());
     }
 
-    private void begin(String effect) throws Exception {
-        String ready = World.target("s-1", backend.endpoint(), "ready");
-        Configuration config = Configuration.of(World.config(1, "127.0.0.1:1", 4096,
-            World.list(1, true, ready)).replace("retryable", effect));
-        Peers peers = new Peers();
-        Counts counts = new Counts(config.classes());
-        chain = new Chain(config, clock, timers, peers, counts, () -> { });
-        HostList known = config.known();
-        peers.update(known);
+    private void begin(String effect, String... endpoints) throws Exception {
+        peers = new Peers();
+        Configuration config = Configuration.of(World.config(1, "127.0.0.1:1", 4096, World.list(1, true))
+            .replace("retryable", effect).replace("\"ConnectTimeout\":200000", "\"ConnectTimeout\":20000000"));
+        chain = new Chain(config, clock, timers, peers, new Counts(config.classes()), () -> { });
         Threads.loop("timers", () -> timers.next().run());
-        chain.route().start(known);
+        chain.route().start(config.known());
+        for (int i = 0; i < endpoints.length; i++) {
+            list(i + 2, World.target("s-" + (i + 1), endpoints[i], "ready"));
+        }
+    }
+
+    /** Discovery tells a change. */
+    private void list(int rev, String target) throws Exception {
+        HostList told = HostList.of(Json.object(World.list(rev, false, target)));
+        chain.listed(peers.update(told), told);
     }
 
     @AfterEach
@@ -209,40 +227,91 @@
         assertEquals("MOVE", client.line().hear());
     }
 
+    /** A backend whose connections do not come up before the test lets them. */
+    private static final class Late implements AutoCloseable {
+        final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fillers = new ArrayList<>(); // two may wait, then nobody is answered
+
+        Late() throws IOException {
+            listener.setSoTimeout(World.PATIENCE_MS);
+            for (int i = 0; i < 2; i++) {
+                fillers.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
+            }
+        }
+
+        String endpoint() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        /** The relay's connection, which comes up now. */
+        Line comesUp() throws IOException {
+            for (Socket ignored : fillers) {
+                listener.accept().close();
+            }
+            return new Line(listener.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            listener.close();
+        }
+    }
+
     @Test
     void attemptOfAClientThatLeftIsNotBegunAndOneThatConnectsEndsAtOnce() throws Exception {
         Try left = attempt();
         left.giveUp();
         assertThrows(IOException.class, () -> left.connecting(() -> { }));
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            InetSocketAddress to = (InetSocketAddress) full.getLocalSocketAddress();
-            Socket[] fillers = new Socket[3]; // two wait to be accepted, the third is not answered
-            for (int i = 0; i < fillers.length; i++) {
-                fillers[i] = new Socket();
-                Socket filler = fillers[i];
-                World.aside(() -> {
-                    try {
-                        filler.connect(to);
-                    } catch (IOException closed) {
-                        return false;
-                    }
-                    return true;
-                });
-            }
-            World.await("the queue is full", () -> fillers[0].isConnected() || fillers[1].isConnected());
+        try (Late late = new Late()) {
             Try connects = attempt();
             Socket socket = new Socket();
             connects.connecting(() -> LineConnection.close(socket));
             BlockingQueue<Exception> ended = World.aside(() -> assertThrows(IOException.class, () -> {
-                LineConnection.open(socket, to, Duration.ofMinutes(10));
+                LineConnection.open(socket, (InetSocketAddress) late.listener.getLocalSocketAddress(),
+                    Duration.ofMinutes(10));
                 connects.connected(() -> { });
             }));
             connects.giveUp();
             ended.take();
             assertTrue(socket.isClosed());
-            for (Socket filler : fillers) {
-                filler.close();
-            }
+        }
+    }
+
+    private static boolean dials() {
+        return Thread.getAllStackTraces().values().stream().anyMatch(stack ->
+            Arrays.toString(stack).contains("LineTry.attempt") && Arrays.toString(stack).contains("connect"));
+    }
+
+    @Test
+    void backendThatDrainsWhileItsConnectionComesUpIsSentNothing() throws Exception {
+        try (Late late = new Late()) {
+            begin("retryable", late.endpoint());
+            Client client = client();
+            client.line().say("OPEN h1 k c=chat,t=acme,d=20000");
+            World.await("it is dialled", CrossingTest::dials);
+            list(9, World.target("s-1", late.endpoint(), "draining"));
+            assertNull(late.comesUp().hear());
+        }
+    }
+
+    @Test
+    void repeatWhoseConnectionComesUpAfterItsWindowIsNotSent() throws Exception {
+        try (Late late = new Late()) {
+            begin("dedup\",\"MemorySpan\":\"100000", backend.endpoint());
+            Client client = client();
+            client.line().say("OPEN i1 k c=chat,t=acme,d=20000");
+            Line first = backend.accept();
+            first.hear();
+            list(9, World.target("s-2", late.endpoint(), "ready"));
+            long since = System.nanoTime();
+            first.say("ERR");
+            World.await("the repeat is dialled", CrossingTest::dials);
+            World.await("its window is over", () -> System.nanoTime() - since > 100_000_000);
+            assertNull(late.comesUp().hear());
+            assertEquals("BUSY 1500", client.line().hear());
         }
     }
 
@@ -295,6 +364,9 @@
         client.line().raw("OPEN ");
         assertEquals("BUSY", client.line().hear());
         assertNull(client.line().hear());
+        client.line().close();
+        World.await("it is hung up on", client.atRelay()::isClosed);
+        assertFalse(client.atRelay().closedOverUnread);
         stand(client(), "e2");
     }
 
@@ -315,14 +387,15 @@
 
     @Test
     void whatIsOutAtTheEndIsGivenUpAndRefusedOnlyWhereThatIsHarmless() throws Exception {
-        for (String effect : new String[] {"retryable", "fragile", "dedup"}) {
-            begin(effect);
+        for (String effect : new String[] {"retryable", "fragile", "dedup", "dedup\",\"Group\":\"zone"}) {
+            begin(effect, backend.endpoint());
             Client client = client();
             client.line().say("OPEN g1 k c=chat,t=acme,d=9000");
             Line side = backend.accept();
             assertTrue(side.hear().startsWith("OPEN g1"));
             chain.rejectWaiting();
-            assertEquals(effect.equals("retryable") ? "BUSY" : "ERR failed", client.line().hear());
+            boolean harmless = effect.equals("retryable") || effect.equals("dedup");
+            assertEquals(harmless ? "BUSY" : "ERR failed", client.line().hear());
             assertNull(client.line().hear());
             assertNull(side.hear(), "its backend may not take it any more");
         }
