Cold servers: a report of room allows no more than rule 4's budget for the fleet

Seen: ColdFleetTest plays 2 to 100 instances on one cold server. With a report of room each filled its share of that room at once (Logic.budget: no limit while 'alike' is under 0.8 of the warmth): together 1.1 to 4.6 times N + 2 * root of N + 2, most where a server takes long to warm up. A relay that had just started counted the time before it as saved up. Where relays hold less than one connection a server, the part of a server that is theirs was taken from those only at which they had one: 2.6 times too much at 100 relays. Change: half of the budget comes with time, as before, the other half at once where a report shows room; it is saved up from when the node heard of the server; parts count all warm servers that report.

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -183,7 +183,7 @@
         now = at;
         Call c = take(request);
         Server unlisted = new Server(server, 0, 0, Health.GONE, 1, 0);
-        c.sent(hosts.getOrDefault(server, new Host(unlisted, hash(server), WINDOWS)), at);
+        c.sent(hosts.getOrDefault(server, new Host(unlisted, hash(server), WINDOWS, at)), at);
         c.established(at - EJECT); // it has stood, whatever comes: its end says nothing of set-ups
         count(c.host, c);
         met.add(c.host);
@@ -339,7 +339,7 @@
         }
         if (s.health() != Health.GONE) {
             stale |= h == null || h.server.health() != s.health();
-            hosts.computeIfAbsent(s.id(), id -> new Host(s, hash(id), WINDOWS)).server = s;
+            hosts.computeIfAbsent(s.id(), id -> new Host(s, hash(id), WINDOWS, now)).server = s;
         }
     }
 
@@ -503,17 +503,17 @@
         return warmth(h) >= 1 || unit(c.route ^ h.hash) < warmth(h) && c.load <= budget(h);
     }
 
-    // A node's share of what fills a warm one over the warm-up, or of the room that it is told to have.
+    // A node's share of what rule 4 allows: a half as time goes, the other at once where a report shows room.
     private double budget(Host h) {
         if (h.budgetAt == 0) { // Nodes start anywhere within one connection: few spend at the same time.
             h.budget = random.nextDouble() * arrival.value;
-            h.budgetAt = Math.max(h.server.startedAt(), now - rules.fall());
+            h.budgetAt = Math.max(h.knownAt, now - rules.fall());
         }
         double rate = CAUTION * rules.tipMultiple() * warmth(h) * part(h) / rules.cold();
         h.budget = Math.min(h.budget + rate * (now - h.budgetAt), arrival.value);
         h.budgetAt = now;
         double alike = h.asked + CAUTION * (h.placed - h.placedThen) / part(h); // all relays read that report
-        return reported(h) && alike < EASED * warmth(h) ? Double.MAX_VALUE : h.budget;
+        return h.budget + (reported(h) && alike < EASED * warmth(h) ? rate * rules.fall() : 0);
     }
 
     /** This node's part of what a warm server can do: as reports tell, or half its even part of shares. */
@@ -586,7 +586,7 @@
         partMine *= PART_KEPT;
         partAsked *= PART_KEPT;
         for (Host h : hosts.values()) { // also at the first request, before the tables are built
-            double told = h.ready() && reported(h) && warmth(h) >= 1 && h.placedThen > 0 ? 1 : 0;
+            double told = h.ready() && reported(h) && warmth(h) >= 1 && placed > 0 ? 1 : 0;
             partMine += told * h.placedThen;
             partAsked += told * h.asked * weight(h);
             h.can = part(h) * set.fleetSize();
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -90,8 +90,11 @@
         boolean doubtful; // what it set up last did not stand
         long shunUntil = Long.MIN_VALUE / 2;
 
-        Host(Server server, long hash, int windows) {
+        final long knownAt; // a former node may have spent what the rule allowed before
+
+        Host(Server server, long hash, int windows, long now) {
             this.server = server;
+            knownAt = now;
             this.hash = hash;
             tables = new Table[windows];
         }
