Configuration: what is unsound is named with its file and with what would do

Seen: 'check' named the key only, and passed 10 descriptors, a word for Discovery that is none, a cold share of 7 and two classes or tenants of one name; the relay then could not serve, or took requests of the second name for the first. Without advice when to come again a full doorway said 'BUSY 0'. Change: SettingsReader and Configuration say file, key, value and what would do, and refuse these four. Measured: CommandLineTest has a case for each; WireTest's text is the longer one.

--- a/relay/src/main/java/saltstage/config/Configuration.java
+++ b/relay/src/main/java/saltstage/config/Configuration.java
@@ -19,6 +19,8 @@
 
 /** What the relay is told at its start: the file that GW_CONFIG names. */
 public final class Configuration {
+    /** What the relay itself needs, the least doorway, and a request with its backend. */
+    private static final int LEAST_SOCKETS = 50;
     private static final long MOST_BYTES = 64 << 20;
 
     private final String name;
@@ -51,6 +53,10 @@
             throw new MalformedException(bad.getMessage());
         }
         known = HostList.of(Json.asObject(json.get("known"), "known"));
+        if (sockets < LEAST_SOCKETS) {
+            throw new MalformedException("limits: sockets: " + sockets + "; " + LEAST_SOCKETS
+                + " or more would do");
+        }
         names("Services.", classes);
         names("Realms.", tenants);
         zones = List.of(pairs.getOrDefault("Zones", "").split(","));
@@ -63,6 +69,8 @@
                 throw new MalformedException("configuration: file too large");
             }
             return of(Files.readString(file));
+        } catch (MalformedException bad) {
+            throw new MalformedException(bad.getMessage() + " (in " + file + ")");
         } catch (IOException e) {
             throw new MalformedException("configuration: cannot read " + file);
         }
@@ -97,9 +105,14 @@
         }
     }
 
-    private void names(String list, List<String> into) {
+    private void names(String list, List<String> into) throws MalformedException {
         for (int i = 0; pairs.containsKey(list + i + ".Name"); i++) {
-            into.add(pairs.get(list + i + ".Name"));
+            String name = pairs.get(list + i + ".Name");
+            if (into.contains(name)) { // requests could mean either
+                throw new MalformedException("settings: " + list + i + ".Name: " + name
+                    + " is there twice; a name of its own would do");
+            }
+            into.add(name);
         }
     }
 
--- a/relay/src/main/java/saltstage/config/SettingsReader.java
+++ b/relay/src/main/java/saltstage/config/SettingsReader.java
@@ -30,7 +30,7 @@
     public Settings read() {
         int classes = (int) whole("Services.count", 0, 0, 10_000);
         if (classes == 0) {
-            throw complaint.malformed("Services.count", "no classes");
+            throw complaint.malformed("Services.count", "no classes; one to 10000 are needed");
         }
         String[] aims = pairs.getOrDefault("FamilyInfo.MessageAim", "").split(",");
         List<ServiceClass> services = new ArrayList<>();
@@ -45,20 +45,28 @@
             }
         }
         Rules rules = new Rules(whole("Safety.DrainGrace", 0, 0, Long.MAX_VALUE),
-            decimal("Safety.ColdFrom", 1), whole("Safety.Cold", 0, 0, Long.MAX_VALUE),
+            share("Safety.ColdFrom", 1), whole("Safety.Cold", 0, 0, Long.MAX_VALUE),
             decimal("Safety.TipMultiple", 1), whole("Safety.Fall", 0, 0, Long.MAX_VALUE),
             whole("Safety.AskEvery", 10_000_000, 1, Long.MAX_VALUE));
         return new Settings((int) whole("FleetSize", 1, 1, Integer.MAX_VALUE),
             (int) whole("Zone", 0, 0, Integer.MAX_VALUE), services, quotas, decimal("OverShareWorth", 1),
             (int) whole("Limits.MaxAttempts", 1, 1, Integer.MAX_VALUE),
             whole("Limits.ConnectTimeout", 250_000, 1, Long.MAX_VALUE),
-            "on_request".equals(pairs.get("Discovery")), !"live".equals(pairs.get("Weights")),
+            asksForList(), !"live".equals(pairs.get("Weights")),
             decimal("Costs.CrossZone", 0),
             "true".equals(pairs.get("Limits.RetryAfter"))
                 ? whole("Limits.MaxRetryAfter", 0, 0, Long.MAX_VALUE) : 0,
             whole("Tick", 1000, 1, Long.MAX_VALUE), tellsLoadWhenProbed(), rules);
     }
 
+    private boolean asksForList() {
+        String how = pairs.getOrDefault("Discovery", "pushed");
+        if (!how.equals("pushed") && !how.equals("on_request")) {
+            throw complaint.malformed("Discovery", unknown("Discovery", "pushed or on_request"));
+        }
+        return how.equals("on_request");
+    }
+
     private boolean tellsLoadWhenProbed() {
         List<String> fields = List.of(pairs.getOrDefault("Report.Fields", "").split(","));
         return "true".equals(pairs.get("Limits.Probes")) && fields.contains("x0")
@@ -73,13 +81,14 @@
             case "retryable" -> Effect.SAFE;
             case "dedup" -> Effect.KEYED;
             case "fragile" -> Effect.UNSAFE;
-            default -> throw complaint.malformed(at + "Effect", "unknown word: " + pairs.get(at + "Effect"));
+            default -> throw complaint.malformed(at + "Effect",
+                unknown(at + "Effect", "retryable, dedup or fragile"));
         };
         Scope scope = switch (pairs.getOrDefault(at + "Group", "all")) {
             case "all" -> Scope.ALL;
             case "zone" -> Scope.ZONE;
             case "cell" -> Scope.CELL;
-            default -> throw complaint.malformed(at + "Group", "unknown word: " + pairs.get(at + "Group"));
+            default -> throw complaint.malformed(at + "Group", unknown(at + "Group", "all, zone or cell"));
         };
         return new ServiceClass(aim, giveUp, effect, scope, whole(at + "MemorySpan", 0, 0, Long.MAX_VALUE),
             decimal(at + "Points", 1), messageAim > 0 ? messageAim : aim);
@@ -89,10 +98,11 @@
         String value = pairs.get(key);
         double d = value == null ? absent : parse(key, value);
         if (d == Long.MIN_VALUE) {
-            throw complaint.malformed(key, "missing");
+            throw complaint.malformed(key, "missing; a number of " + least + " or more is needed");
         }
         if (value != null && (d < least || d > most)) {
-            throw complaint.malformed(key, "out of range: " + value);
+            throw complaint.malformed(key, "out of range: " + value + "; " + least
+                + (most >= Integer.MAX_VALUE ? " or more" : " to " + most) + " would do");
         }
         return (long) d;
     }
@@ -101,20 +111,32 @@
         String value = pairs.get(key);
         double d = value == null ? absent : parse(key, value);
         if (d < 0) {
-            throw complaint.malformed(key, "out of range: " + value);
+            throw complaint.malformed(key, "out of range: " + value + "; 0 or more would do");
         }
         return d;
     }
 
+    private double share(String key, double absent) {
+        double d = decimal(key, absent);
+        if (d > 1) {
+            throw complaint.malformed(key, "out of range: " + pairs.get(key) + "; 0 to 1 would do");
+        }
+        return d;
+    }
+
+    private String unknown(String key, String known) {
+        return "unknown word: " + pairs.get(key) + "; " + known + " would do";
+    }
+
     private double parse(String key, String value) {
         try {
             double d = Double.parseDouble(value);
             if (!Double.isFinite(d)) {
-                throw complaint.malformed(key, "out of range: " + value);
+                throw complaint.malformed(key, "out of range: " + value + "; a finite number would do");
             }
             return d;
         } catch (NumberFormatException e) {
-            throw complaint.malformed(key, "not a number: " + value);
+            throw complaint.malformed(key, "not a number: " + value + "; a plain number would do");
         }
     }
 }
--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -159,7 +159,7 @@
      */
     void turnAway(LineClient client) {
         if (client.turnsAway()) {
-            book.tell(client, "BUSY " + config.longestRetryAfter().toMillis()); // few bytes: does not block
+            book.tell(client, LineClient.busy(config.longestRetryAfter())); // few bytes: does not block
         }
         if (!client.hasAsked()) {
             client.close();
--- a/relay/src/main/java/saltstage/stage/LineClient.java
+++ b/relay/src/main/java/saltstage/stage/LineClient.java
@@ -55,7 +55,7 @@
 
     @Override
     public void refused(Duration retryAfter) {
-        answer(retryAfter.isZero() ? "BUSY" : "BUSY " + retryAfter.toMillis());
+        answer(busy(retryAfter));
     }
 
     @Override
@@ -63,6 +63,11 @@
         answer("ERR " + why);
     }
 
+    /** The line that refuses, with the advice when to come again if there is any. */
+    static String busy(Duration retryAfter) {
+        return retryAfter.isZero() ? "BUSY" : "BUSY " + retryAfter.toMillis();
+    }
+
     /** A few bytes on a connection that carried none before: this does not block. */
     private void answer(String line) {
         try {
--- a/relay/src/test/java/saltstage/ColdFleetTest.java
+++ b/relay/src/test/java/saltstage/ColdFleetTest.java
@@ -18,7 +18,7 @@
 import saltstage.Api.Settings;
 
 /**
- * Rule 4 for the sum of all processes: within any span that the settings name, a cold server gets no more than
+ * Rule 4 for the sum of all processes: within any span that the settings name a cold server gets no more than
  * the budget N of its present capacity, and 2 * root of N + 2 for chance, however many relays share it. No
  * relay is told what the others do; what they have in common is the list, the reports and the settings.
  */
--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -82,7 +82,7 @@
         assertEquals(5, sentToCold(reporting(0.01, LONG / 2), false, 1_000), 2);
         // Own placements count as every relay's: half of the room, half the clients.
         assertEquals(6, sentToCold(reporting(0.1, LONG), false, 1_000), 2);
-        assertTrue(sentToCold(reporting(0.3, LONG), false, 1_000) <= blind, "it has more than its part asked");
+        assertTrue(sentToCold(reporting(0.3, LONG), false, 1_000) <= blind, "more than its part is asked");
     }
 
     @Test
--- a/relay/src/test/java/saltstage/process/CommandLineTest.java
+++ b/relay/src/test/java/saltstage/process/CommandLineTest.java
@@ -50,12 +50,46 @@
     @Test
     public void badConfigurationEndsWithOneLineThatNamesTheFault() throws Exception {
         assertEquals("sound: n0, 0 backends known", check(0, sound()));
-        assertEquals("saltstage: configuration: JSON, character 0: the text ends early", check(1, ""));
-        assertEquals("saltstage: configuration: listen is missing",
-            check(1, sound().replace("listen", "lisp")));
-        assertEquals("saltstage: configuration: settings: Services.0.Aim: out of range: 0.0",
-            check(1, sound().replace("\"Aim\":60000000", "\"Aim\":0")));
+        assertEquals("JSON, character 0: the text ends early", complaint(""));
+        assertEquals("listen is missing", complaint(sound().replace("listen", "lisp")));
         assertEquals("saltstage: configuration: cannot read /no/such/file",
             run(1, "serve", "--config", "/no/such/file"));
     }
+
+    /** What 'check' says of it, between the program's name and the file's. */
+    private static String complaint(String config) throws Exception {
+        String line = check(1, config);
+        assertTrue(line, line.matches("saltstage: configuration: .* \\(in /\\S+\\.json\\)"));
+        return line.replaceAll("^saltstage: configuration: | \\(in .*", "");
+    }
+
+    @Test
+    public void unsoundSettingsAreNamedWithWhatWouldDo() throws Exception {
+        String[][] bad = {
+            {"\"Aim\":60000000", "\"Aim\":0", "Services.0.Aim: out of range: 0.0; 1 or more would do"},
+            {"\"Aim\":60000000,", "", "Services.0.Aim: missing; a number of 1 or more is needed"},
+            {"\"GiveUp\":60000000", "\"GiveUp\":\"soon\"",
+                "Services.0.GiveUp: not a number: soon; a plain number would do"},
+            {"retryable", "often",
+                "Services.0.Effect: unknown word: often; retryable, dedup or fragile would do"},
+            {"on_request", "asked", "Discovery: unknown word: asked; pushed or on_request would do"},
+            {"\"MaxAttempts\":3", "\"MaxAttempts\":0",
+                "Limits.MaxAttempts: out of range: 0.0; 1 or more would do"},
+            {"\"AskEvery\":1000000", "\"ColdFrom\":7", "Safety.ColdFrom: out of range: 7.0; 0 to 1 would do"},
+            {"[{\"Name\":\"acme\"}]", "[{\"Name\":\"acme\"},{\"Name\":\"acme\"}]",
+                "Realms.1.Name: acme is there twice; a name of its own would do"},
+        };
+        for (String[] each : bad) {
+            assertEquals("settings: " + each[2], complaint(sound().replace(each[0], each[1])));
+        }
+        assertEquals("limits: sockets: 49; 50 or more would do",
+            complaint(sound().replace("\"sockets\":512", "\"sockets\":49")));
+        Path file = Files.createTempFile("saltstage", ".json");
+        try {
+            Files.writeString(file, sound().replace("retryable", "often"));
+            assertTrue(run(1, "serve", "--config", file.toString()).contains("Services.0.Effect"));
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
--- a/relay/src/test/java/saltstage/sim/WireTest.java
+++ b/relay/src/test/java/saltstage/sim/WireTest.java
@@ -71,7 +71,7 @@
 
     @Test
     void badSettingsNameTheKey() {
-        assertEquals("line 2: LAUNCH: Services.count: no classes",
+        assertEquals("line 2: LAUNCH: Services.count: no classes; one to 10000 are needed",
             malformed(LAUNCH.replace("Services.count=1", "Services.count=0")));
         assertEquals("line 2: LAUNCH: Services.0.GiveUp: out of range: 0",
             malformed(LAUNCH.replace("GiveUp=1200000", "GiveUp=0")));
