Reload: a configuration that is slow to read holds up neither the beat nor the end

Cause: Program.reload held the monitor that the beat and the drain's look at lateness take. While it read a file that came slowly, timers stood still, and SIGTERM was not obeyed before the file had come. Change: reloads have a lock of their own. New tests of rows that had none: an answer that never ends, a backend suspended while its connection comes up, an idle crowd while discovery is down. DiscoveryTest said 'push' where the wire says 'pushed'; settings refuse words that are none, so it says the wire's word now.

--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -52,6 +52,7 @@
     private final Peers peers;
     private final Clerk clerk;
     private final Subscription subscription;
+    private final Object reloading = new Object();
     private final CountDownLatch firstList = new CountDownLatch(1);
     private final Chain chain;
     private volatile ClientListener listener;
@@ -200,7 +201,13 @@
      * what was heard: the old address may go on answering for a while, but what it does not tell any more
      * counts as told. The list, the module's state and all connections stay. A bad file changes nothing.
      */
-    synchronized void reload(Source source, SettingsSource operator) {
+    void reload(Source source, SettingsSource operator) {
+        synchronized (reloading) { // not this: a file that is slow to read may hold up neither beat nor end
+            reloadOne(source, operator);
+        }
+    }
+
+    private void reloadOne(Source source, SettingsSource operator) {
         try {
             OperatorSettings chosen = operator.read();
             Configuration read = source.read();
--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -20,7 +20,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.BooleanSupplier;
@@ -50,6 +52,7 @@
     private final MonotonicClock clock = new MonotonicClock();
     private final Timers timers = new Timers(clock);
     private Service backend;
+    private final Set<String> suspended = ConcurrentHashMap.newKeySet();
     private Peers peers;
     private Chain chain;
 
@@ -114,7 +117,7 @@
     }
 
     private void begin(String effect, String... endpoints) throws Exception {
-        peers = new Peers();
+        peers = new Peers(suspended::contains);
         Configuration config = Configuration.of(World.config(1, "127.0.0.1:1", 4096, World.list(1, true))
             .replace("retryable", effect).replace(":200000", ":20000000")); // connections may take as long
         chain = new Chain(config, clock, timers, peers, new Counts(config.classes()), () -> { });
@@ -297,6 +300,18 @@
         }
     }
 
+    @Test
+    void backendThatIsSuspendedWhileItsConnectionComesUpIsSentNothing() throws Exception {
+        try (Late late = new Late()) {
+            begin("retryable", late.endpoint());
+            Client client = client();
+            client.line().say("OPEN h2 k c=chat,t=acme,d=20000");
+            World.await("it is dialled", CrossingTest::dials);
+            suspended.add("s-1");
+            assertNull(late.comesUp().hear());
+        }
+    }
+
     @Test
     void repeatWhoseConnectionComesUpAfterItsWindowIsNotSent() throws Exception {
         try (Late late = new Late()) {
--- a/relay/src/test/java/saltstage/process/DiscoveryTest.java
+++ b/relay/src/test/java/saltstage/process/DiscoveryTest.java
@@ -1,11 +1,13 @@
 package saltstage.process;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -77,7 +79,7 @@
         BlockingQueue<Line> watch = World.aside(() -> world.watched(World.list(2, false,
             World.target("s-1", backend.endpoint(), "draining"),
             World.target("s-2", second.endpoint(), "ready"))));
-        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "push"));
+        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "pushed"));
         assertTrue(world.logged("relay.ready name=n0") && world.log.stream()
             .anyMatch(line -> line.contains("relay.ready") && line.contains("rev=2")));
         world.stand(second, world.open("a1", 20_000));
@@ -90,7 +92,7 @@
 
     @Test
     public void silentAgentKeepsNoRelayFromItsStart() throws Exception {
-        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "push"));
+        world.startWith(world.config(4096, World.list(1, true, ready)).replace("on_request", "pushed"));
         assertTrue(world.logged("discovery.none"));
         world.stand(backend, world.open("a1", 20_000));
     }
@@ -106,6 +108,39 @@
         world.stand(second, world.open("a2", 20_000));
     }
 
+    @Test
+    public void idleCrowdWhileDiscoveryIsDownIsInTheWayOfNothing() throws Exception {
+        world.close();
+        world = new World();
+        Service backend = world.backend();
+        Service second = world.backend();
+        AtomicBoolean down = new AtomicBoolean(true);
+        World.aside(() -> {
+            while (down.get()) {
+                world.discovery.accept().close();
+            }
+            return true;
+        });
+        String ready = World.target("s-1", backend.endpoint(), "ready");
+        world.startWith(world.config(64, World.list(1, true, ready)));
+        for (int i = 0; i < 300; i++) {
+            world.client(); // and says nothing
+        }
+        Line served = world.open("d1", 20_000);
+        world.stand(backend, served);
+        down.set(false);
+        world.discovery.accept().close(); // the last that goes in vain, or the one after it
+        world.watched(World.list(2, false, World.target("s-1", backend.endpoint(), "draining"),
+            World.target("s-2", second.endpoint(), "ready")));
+        World.await("the list's return is heard", () -> world.logged("discovery.list rev=2"));
+        world.stand(second, world.open("d2", 20_000));
+        assertFalse(world.logged("thread.fault"));
+        world.process().toHandle().destroy();
+        assertEquals("MOVE", served.hear());
+        assertTrue(world.waitForEnd());
+        assertEquals(0, world.process().exitValue());
+    }
+
     @Test
     public void requestWaitsForABackendToBeNamed() throws Exception {
         world.start(World.list(1, true));
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -108,6 +108,21 @@
         assertTrue(world.logged("try.malformed"));
     }
 
+    @Test
+    public void answerThatNeverEndsIsAFailedTry() throws Exception {
+        Line client = world.open("a6", 20_000);
+        Line side = backend.accept();
+        side.hear();
+        side.raw("U".repeat(6_000));
+        assertEquals("BUSY 1500", client.hear());
+        assertNull(client.hear());
+        assertThrows("the backend is hung up on", IOException.class, () -> {
+            while (true) {
+                side.raw("P".repeat(6_000));
+            }
+        });
+    }
+
     @Test
     public void silentBackendIsGivenUpBeforeTheClientsDeadline() throws Exception {
         Line client = world.open("a3", 2_500);
--- a/relay/src/test/java/saltstage/process/StartTest.java
+++ b/relay/src/test/java/saltstage/process/StartTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.File;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -71,6 +72,27 @@
         assertTrue(process.isAlive());
     }
 
+    @Test
+    void terminationIsHeardWhileAReloadWaitsForItsFile() throws Exception {
+        Files.writeString(file, world.config(4096, World.list(1, true)));
+        launch();
+        World.await("the relay is ready", () -> {
+            try {
+                return Files.readString(log()).contains("relay.ready");
+            } catch (IOException notYet) {
+                return false;
+            }
+        });
+        Files.delete(file);
+        done("mkfifo", file.toString());
+        signal("HUP");
+        try (var opened = Files.newOutputStream(file)) { // opened only once the reload reads
+            signal("TERM");
+            assertTrue(process.waitFor(World.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(0, process.exitValue(), Files.readString(log()));
+        }
+    }
+
     @Test
     void terminationBeforeTheFirstListIsAPlannedEnd() throws Exception {
         Files.writeString(file, world.config(4096, World.list(1, true)).replace("on_request", "pushed"));
