StartTest: a reload that is never heard fails in 30 s, where it hung on the pipe

Seen: played where SIGHUP is ignored, the test waited without end for the pipe's reader. It now waits 30 s for it and says that nobody reads.

--- a/relay/src/test/java/saltstage/process/StartTest.java
+++ b/relay/src/test/java/saltstage/process/StartTest.java
@@ -1,10 +1,12 @@
 package saltstage.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -45,6 +47,13 @@
         return file.resolveSibling("log");
     }
 
+    /** The pipe's end for writing, which is there once the relay opens the other. */
+    private OutputStream onceItIsRead() throws InterruptedException {
+        OutputStream opened = World.aside(() -> Files.newOutputStream(file)).poll(30, TimeUnit.SECONDS);
+        assertNotNull(opened, "nobody reads the configuration");
+        return opened;
+    }
+
     private void signal(String name) throws Exception {
         done("kill", "-" + name, Long.toString(process.pid()));
     }
@@ -59,7 +68,7 @@
         done("mkfifo", file.toString());
         launch();
         String config = world.config(4096, World.list(1, true));
-        try (var opened = Files.newOutputStream(file)) { // opened only once the relay reads
+        try (OutputStream opened = onceItIsRead()) {
             signal("HUP");
             opened.write(config.getBytes());
         }
@@ -86,7 +95,7 @@
         Files.delete(file);
         done("mkfifo", file.toString());
         signal("HUP");
-        try (var opened = Files.newOutputStream(file)) { // opened only once the reload reads
+        try (OutputStream opened = onceItIsRead()) {
             signal("TERM");
             assertTrue(process.waitFor(World.PATIENCE_MS, TimeUnit.MILLISECONDS));
             assertEquals(0, process.exitValue(), Files.readString(log()));
