Tests: an attempt given up at the end and a full doorway are seen, not only waited out

With their guards out two tests still passed: the attempt ended by its own deadline within the test's patience, and nothing asked whether the doorway had turned anybody out. The deadline is longer now, and doorway.full is awaited.

--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -405,7 +405,7 @@
         for (String effect : new String[] {"retryable", "fragile", "dedup", "dedup\",\"Group\":\"zone"}) {
             begin(effect, backend.endpoint());
             Client client = client();
-            client.line().say("OPEN g1 k c=chat,t=acme,d=9000");
+            client.line().say("OPEN g1 k c=chat,t=acme,d=50000"); // longer than the test waits
             Line side = backend.accept();
             assertTrue(side.hear().startsWith("OPEN g1"));
             chain.rejectWaiting();
--- a/relay/src/test/java/saltstage/process/DiscoveryTest.java
+++ b/relay/src/test/java/saltstage/process/DiscoveryTest.java
@@ -126,6 +126,7 @@
         for (int i = 0; i < 300; i++) {
             world.client(); // and says nothing
         }
+        World.await("who came first has to go", () -> world.logged("doorway.full"));
         Line served = world.open("d1", 20_000);
         world.stand(backend, served);
         down.set(false);
