UpgradeTest: the half line begins when the drain has, however late that is

Change: the connection is kept by PING, each of which has 2 s again, until drain.start is logged; then the half line comes, the drain looks four times, and the rest. The order that it forces is the same.

--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -5,8 +5,9 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.ServerSocket;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -109,17 +110,29 @@
         assertFalse("newcomers are the new process's, not taken and moved", said(old, " id=n"));
     }
 
+    private static void pong(Line line) {
+        try {
+            assertEquals("PONG", line.say("PING").hear());
+        } catch (IOException gone) {
+            throw new UncheckedIOException(gone);
+        }
+    }
+
     @Test
     public void lineThatIsHalfReadAtTheEndIsServedByTheOldProcess() throws Exception {
         Relay old = serving("old");
         Relay next = serving("next");
-        // A first line has 2 s and the start of a process may take longer, so the line begins only now,
-        // while the new process is stopped: it is the old one that accepts it.
+        // A first line has 2 s, and on a busy machine processes start and hear signals later than that: the
+        // new one is stopped, so that the old one accepts, and the line begins when the drain has.
         Platform.signal(next.pid(), "STOP");
-        Line half = world.client().raw("OPEN u3 ");
-        Thread.sleep(100);
+        Line half = world.client();
+        pong(half);
         Platform.signal(old.pid(), "TERM");
-        World.await("the old process has stopped accepting", () -> said(old, "drain.start"));
+        World.await("the old process has stopped accepting", () -> {
+            pong(half); // each has 2 s again
+            return said(old, "drain.start");
+        });
+        half.raw("OPEN u3 ");
         Thread.sleep(200); // four looks of the drain's at whether anybody is left
         half.say("7f3a9c21e0b4d655 c=chat,t=acme,d=20000,g=5c0f6e1a");
         Line side = world.stand(backend, half);
