--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/EntryKey.java
@@ -0,0 +1,44 @@
+package saltstage.configuration;
+
+import java.util.regex.Pattern;
+
+/**
+ * The name of an entry: its kind and a name of its own, as text {@code kind/name}. Keys are ordered
+ * by their text.
+ *
+ * @param name 1 to 160 visible ASCII characters
+ */
+public record EntryKey(EntryKind kind, String name) implements Comparable<EntryKey> {
+    private static final Pattern NAME = Pattern.compile("[!-~]{1,160}");
+    private static final char SEPARATOR = '/';
+
+    /** Checks the name; throws IllegalArgumentException for one that is malformed. */
+    public EntryKey {
+        if (!NAME.matcher(name).matches()) {
+            throw new IllegalArgumentException(
+                    "the name of a " + kind.word() + " takes 1 to 160 visible ASCII characters");
+        }
+    }
+
+    /** The key that a text names; throws IllegalArgumentException where it names none. */
+    public static EntryKey parse(String text) {
+        int end = text.indexOf(SEPARATOR);
+        for (EntryKind kind : EntryKind.values()) {
+            if (end > 0 && kind.word().equals(text.substring(0, end))) {
+                return new EntryKey(kind, text.substring(end + 1));
+            }
+        }
+        throw new IllegalArgumentException("no kind of entry in the key '" + text + "'");
+    }
+
+    /** The key as text. */
+    public String text() {
+        return kind.word() + SEPARATOR + name;
+    }
+
+    @Override
+    public int compareTo(EntryKey other) {
+        int byKind = kind.word().compareTo(other.kind.word());
+        return byKind != 0 ? byKind : name.compareTo(other.name);
+    }
+}
