--- a/coordinator/src/main/java/saltstage/coordinator/advice/AdviceBook.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/AdviceBook.java
@@ -12,6 +12,7 @@
 public final class AdviceBook {
     /** A recommendation that nobody took up is no more after this: the fleet has changed. */
     public static final long OFFERED_MS = 60_000;
+
     private static final int MOST = 2_000;
     private static final int MOST_OPEN = 64;
 
@@ -31,16 +32,18 @@
         STOPPED
     }
 
-    /** A recommendation under the fence of the advisor that gave it; measured is what it brought. */
-    public record Row(long id, Move move, long fence, State state, long at, String by, double measured) {
+    /**
+     * A recommendation under the fence of the advisor that gave it; measured is what it brought.
+     */
+    public record Row(
+            long id, Move move, long fence, State state, long at, String by, double measured) {
         Row to(State next, long now, String who, double came) {
             return new Row(id, move, fence, next, now, who, came);
         }
     }
 
     /** What a snapshot keeps. */
-    public record Image(long ids, List<Row> rows, String why) {
-    }
+    public record Image(long ids, List<Row> rows, String why) {}
 
     private long ids;
     private final Map<Long, Row> rows = new TreeMap<>();
@@ -76,31 +79,43 @@
     public List<Advisor.Made> made(long now) {
         List<Advisor.Made> made = new ArrayList<>();
         for (Row row : rows.values()) {
-            if (row.state() == State.ACCEPTED || row.state() == State.DONE || row.state() == State.STOPPED) {
-                made.add(new Advisor.Made(row.move().tenant(), row.move().from(), row.move().to(),
-                    row.move().connections(), row.at() - now, row.state() != State.ACCEPTED));
+            if (row.state() == State.ACCEPTED
+                    || row.state() == State.DONE
+                    || row.state() == State.STOPPED) {
+                made.add(
+                        new Advisor.Made(
+                                row.move().tenant(),
+                                row.move().from(),
+                                row.move().to(),
+                                row.move().connections(),
+                                row.at() - now,
+                                row.state() != State.ACCEPTED));
             }
         }
         return made;
     }
 
     /**
-     * The advisor speaks: offers of before are replaced. An older advisor than one that has spoken is
-     * refused.
+     * The advisor speaks: offers of before are replaced. An older advisor than one that has spoken
+     * is refused.
      */
     public Reply advise(AdviceCommands.Advise said, long now) {
         if (said.moves().size() > MOST_OPEN
                 || rows.values().stream().anyMatch(r -> r.fence() > said.fence())) {
-            return new Refused("fenced", "a later advisor has spoken, or too much is said at once", 0);
+            return new Refused(
+                    "fenced", "a later advisor has spoken, or too much is said at once", 0);
         }
         for (Row row : List.copyOf(rows.values())) {
             if (row.state() == State.OFFERED) {
                 boolean same = said.moves().stream().anyMatch(m -> same(m, row.move()));
-                rows.put(row.id(), row.to(same ? State.OFFERED : State.REFUSED, now, "later advice", 0));
+                rows.put(
+                        row.id(),
+                        row.to(same ? State.OFFERED : State.REFUSED, now, "later advice", 0));
             }
         }
         for (Move move : said.moves()) {
-            if (rows.values().stream().noneMatch(r -> r.state() == State.OFFERED && same(r.move(), move))) {
+            if (rows.values().stream()
+                    .noneMatch(r -> r.state() == State.OFFERED && same(r.move(), move))) {
                 rows.put(++ids, new Row(ids, move, said.fence(), State.OFFERED, now, "", 0));
             }
         }
@@ -112,8 +127,9 @@
     }
 
     private static boolean same(Move one, Move other) {
-        return one.tenant().equals(other.tenant()) && one.from().equals(other.from())
-            && one.to().equals(other.to());
+        return one.tenant().equals(other.tenant())
+                && one.from().equals(other.from())
+                && one.to().equals(other.to());
     }
 
     /** An operator decides; saying it again changes nothing. */
@@ -121,8 +137,13 @@
         Row row = rows.get(said.id());
         State wanted = said.accept() ? State.ACCEPTED : State.REFUSED;
         if (row == null || row.state() != State.OFFERED && row.state() != wanted) {
-            return new Refused("not-offered", "recommendation " + said.id() + " is "
-                + (row == null ? "unknown" : row.state().toString()), 0);
+            return new Refused(
+                    "not-offered",
+                    "recommendation "
+                            + said.id()
+                            + " is "
+                            + (row == null ? "unknown" : row.state().toString()),
+                    0);
         }
         if (row.state() == State.OFFERED) {
             rows.put(row.id(), row.to(wanted, now, said.by(), 0));
@@ -134,9 +155,12 @@
     public Reply outcome(AdviceCommands.Outcome said, long now) {
         Row row = rows.get(said.id());
         if (row == null || row.state() != State.ACCEPTED) {
-            return new Refused("not-accepted", "recommendation " + said.id() + " is not under way", 0);
+            return new Refused(
+                    "not-accepted", "recommendation " + said.id() + " is not under way", 0);
         }
-        rows.put(row.id(), row.to(said.stopped() ? State.STOPPED : State.DONE, now, said.by(), said.gain()));
+        rows.put(
+                row.id(),
+                row.to(said.stopped() ? State.STOPPED : State.DONE, now, said.by(), said.gain()));
         return new Done("noted");
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/advice/AdviceCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/AdviceCommands.java
@@ -7,14 +7,18 @@
 public final class AdviceCommands {
     /** From this feature level on. */
     public static final int SINCE = 3;
+
     /** The lease under which one advisor speaks. */
     public static final String LEASE = "advisor";
 
-    private AdviceCommands() {
-    }
+    private AdviceCommands() {}
 
-    /** What the advisor that holds the lease says now, in place of what it said before and nobody took up. */
-    public record Advise(String owner, long fence, List<Move> moves, String why) implements Command {
+    /**
+     * What the advisor that holds the lease says now, in place of what it said before and nobody
+     * took up.
+     */
+    public record Advise(String owner, long fence, List<Move> moves, String why)
+            implements Command {
         @Override
         public int since() {
             return SINCE;
--- a/coordinator/src/main/java/saltstage/coordinator/advice/Board.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/Board.java
@@ -6,20 +6,18 @@
 import java.util.TreeMap;
 
 /**
- * The newest snapshot of each node: soft state of one coordinator, in no log. Late, doubled and reordered
- * ones change nothing, nor do those of an earlier incarnation; ages count from when they arrived here, so a
- * clock that is off at a node is read by nobody. For one thread at a time.
+ * The newest snapshot of each node: soft state of one coordinator, in no log. Late, doubled and
+ * reordered ones change nothing, nor do those of an earlier incarnation; ages count from when they
+ * arrived here, so a clock that is off at a node is read by nobody. For one thread at a time.
  */
 public final class Board {
     static final int MOST_NODES = 2_000;
     private static final long FORGOTTEN_MS = 600_000;
 
     /** A node as it is known here, and how old that is. */
-    public record View(NodeSnapshot snapshot, long ageMs) {
-    }
+    public record View(NodeSnapshot snapshot, long ageMs) {}
 
-    private record Kept(NodeSnapshot snapshot, long at) {
-    }
+    private record Kept(NodeSnapshot snapshot, long at) {}
 
     private final Map<String, Kept> nodes = new TreeMap<>();
 
@@ -29,7 +27,8 @@
         if (known != null) {
             long before = known.snapshot().incarnation();
             if (snapshot.incarnation() < before
-                    || snapshot.incarnation() == before && snapshot.seq() <= known.snapshot().seq()) {
+                    || snapshot.incarnation() == before
+                            && snapshot.seq() <= known.snapshot().seq()) {
                 return false;
             }
         } else if (nodes.size() >= MOST_NODES) {
--- a/coordinator/src/main/java/saltstage/coordinator/agent/Agent.java
+++ b/coordinator/src/main/java/saltstage/coordinator/agent/Agent.java
@@ -24,15 +24,17 @@
 import saltstage.log.Log;
 
 /**
- * Carries its region's windows out, step by step, each recorded by the group before the next: whoever holds
- * the region's lease after it goes on from there, and may do the step before again. Before each act it makes
- * sure that the lease is still its own. It also tells what of the region is missing outside any window.
+ * Carries its region's windows out, step by step, each recorded by the group before the next:
+ * whoever holds the region's lease after it goes on from there, and may do the step before again.
+ * Before each act it makes sure that the lease is still its own. It also tells what of the region
+ * is missing outside any window.
  */
 public final class Agent {
     private static final Duration LEASE = Duration.ofSeconds(4);
     private static final Duration WAIT = Duration.ofSeconds(10);
     private static final Duration CALL = Duration.ofSeconds(3);
     private static final Duration ROUND = Duration.ofMillis(150);
+
     /** So many looks without an answer, one after the other, and a node counts as missing. */
     private static final int LOOKS = 3;
 
@@ -51,8 +53,7 @@
         this.leases = leases;
     }
 
-    private record Plans(FleetPlan plan, List<Window> windows, long day) {
-    }
+    private record Plans(FleetPlan plan, List<Window> windows, long day) {}
 
     /** Serves for ever: waits for the lease, acts while it holds it. */
     public void run() throws InterruptedException {
@@ -130,14 +131,17 @@
             }
             case OUT -> {
                 // Said again each time: a relay that was started anew may have forgotten it.
-                if (all(window, true, lease) && worked(window, inState, lease)
+                if (all(window, true, lease)
+                        && worked(window, inState, lease)
                         && all(window, false, lease)) {
                     report(id, Step.WARMING, 0, lease);
                 }
             }
             case WARMING -> warm(window, plans, inState, lease);
-            case RETURNING -> { // its nodes were never touched: they are warm once each relay uses them again
-                if (all(window, false, lease) && answering(window) == window.wish().nodes().size()) {
+            case RETURNING -> { // its nodes were never touched: they are warm once each relay uses
+                // them again
+                if (all(window, false, lease)
+                        && answering(window) == window.wish().nodes().size()) {
                     report(id, Step.PROVEN, window.capacity(), lease);
                     report(id, Step.DONE, 0, lease);
                 }
@@ -154,7 +158,8 @@
     }
 
     /** Each relay has said so of each node, now. */
-    private boolean all(Window window, boolean suspend, LeaseClient.Lease lease) throws LeaseClient.Lost {
+    private boolean all(Window window, boolean suspend, LeaseClient.Lease lease)
+            throws LeaseClient.Lost {
         boolean all = true;
         for (InetSocketAddress relay : settings.relays().values()) {
             for (String node : window.wish().nodes()) {
@@ -174,7 +179,10 @@
         return answering;
     }
 
-    /** Whether what is to be done at the nodes is done: the command has ended well, or the time is over. */
+    /**
+     * Whether what is to be done at the nodes is done: the command has ended well, or the time is
+     * over.
+     */
     private synchronized boolean worked(Window window, long inState, LeaseClient.Lease lease) {
         if (settings.work().isEmpty()) {
             return inState >= window.wish().workMs();
@@ -189,7 +197,14 @@
         }
         if (running.exitValue() != 0) {
             int tries = worked.merge(window.id(), 1, Integer::sum);
-            Log.warn("agent.work-failed", "window", window.id(), "exit", running.exitValue(), "tries", tries);
+            Log.warn(
+                    "agent.work-failed",
+                    "window",
+                    window.id(),
+                    "exit",
+                    running.exitValue(),
+                    "tries",
+                    tries);
             work.remove(window.id()); // again at the next round: it must bear that
             return false;
         }
@@ -208,7 +223,10 @@
         }
     }
 
-    /** What is proven grows with the time that the nodes have been back, as long as all of them answer. */
+    /**
+     * What is proven grows with the time that the nodes have been back, as long as all of them
+     * answer.
+     */
     private void warm(Window window, Plans plans, long inState, LeaseClient.Lease lease)
             throws LeaseClient.Lost, Unreachable, InterruptedException {
         if (!all(window, false, lease) || answering(window) < window.wish().nodes().size()) {
@@ -227,7 +245,10 @@
         }
     }
 
-    /** Nodes that do not answer and are in no window are missing; the group must know before it plans on. */
+    /**
+     * Nodes that do not answer and are in no window are missing; the group must know before it
+     * plans on.
+     */
     private void tellMissing(Plans plans, List<String> out, LeaseClient.Lease lease)
             throws LeaseClient.Lost, Unreachable, InterruptedException {
         if (plans.plan() == null) {
@@ -237,7 +258,9 @@
         for (FleetPlan.Region region : plans.plan().regions()) {
             for (FleetPlan.Node node : region.nodes()) {
                 InetSocketAddress at = settings.nodes().get(node.id());
-                if (!region.name().equals(settings.region()) || out.contains(node.id()) || at == null) {
+                if (!region.name().equals(settings.region())
+                        || out.contains(node.id())
+                        || at == null) {
                     continue;
                 }
                 int looks = Calls.answers(at) ? 0 : silent.getOrDefault(node.id(), 0) + 1;
@@ -245,8 +268,12 @@
                 lost += looks >= LOOKS ? node.capacity() : 0;
             }
         }
-        if (lost != toldLost && say(new WindowCommands.Outage(settings.region(), lost, leases.owner(),
-                lease.fence()), lease) instanceof saltstage.coordinator.model.Done) {
+        if (lost != toldLost
+                && say(
+                                new WindowCommands.Outage(
+                                        settings.region(), lost, leases.owner(), lease.fence()),
+                                lease)
+                        instanceof saltstage.coordinator.model.Done) {
             Log.info("agent.missing", "region", settings.region(), "lost", lost);
             toldLost = lost;
         }
--- a/coordinator/src/main/java/saltstage/coordinator/agent/Calls.java
+++ b/coordinator/src/main/java/saltstage/coordinator/agent/Calls.java
@@ -12,8 +12,7 @@
 final class Calls {
     private static final Duration PATIENCE = Duration.ofMillis(1_500);
 
-    private Calls() {
-    }
+    private Calls() {}
 
     /** One line there, one line back; null where none came in time. */
     private static String ask(InetSocketAddress at, String line) {
@@ -21,8 +20,10 @@
             socket.connect(at, (int) PATIENCE.toMillis());
             socket.setSoTimeout((int) PATIENCE.toMillis());
             socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.US_ASCII));
-            return new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                StandardCharsets.US_ASCII)).readLine();
+            return new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
         } catch (IOException silent) {
             return null;
         }
--- a/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
@@ -18,12 +18,14 @@
 import saltstage.coordinator.model.Reply;
 
 /**
- * One session with a group: one command at a time, each carried out once however often it is sent. It goes
- * to the replica that answered last, follows to the leader, and tries the others where one is silent.
+ * One session with a group: one command at a time, each carried out once however often it is sent.
+ * It goes to the replica that answered last, follows to the leader, and tries the others where one
+ * is silent.
  */
 public final class GroupClient {
     /** A call that brings nothing for so long is given up and sent to another replica. */
     private static final Duration PATIENCE = Duration.ofMillis(1_500);
+
     private static final Duration CONNECT = Duration.ofMillis(700);
     private static final long LEAST_PAUSE_MS = 20;
     private static final long MOST_PAUSE_MS = 200;
@@ -38,16 +40,18 @@
     }
 
     /**
-     * A reply, and the moment on the caller's monotonic clock before which the group cannot have given
-     * it.
+     * A reply, and the moment on the caller's monotonic clock before which the group cannot have
+     * given it.
      */
-    public record Said(Reply reply, long sentNanos) {
-    }
+    public record Said(Reply reply, long sentNanos) {}
 
     private final List<String> places;
     private final Ticker ticker;
     private final HttpClient http =
-        HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(CONNECT).build();
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(CONNECT)
+                    .build();
     private String session = UUID.randomUUID().toString();
     private long seq;
     private int next;
@@ -68,22 +72,29 @@
         return send(command, within, Duration.ZERO);
     }
 
-    /** As above; the group may hold its answer back for so long while the caller waits in a queue. */
+    /**
+     * As above; the group may hold its answer back for so long while the caller waits in a queue.
+     */
     public synchronized Said send(Command command, Duration within, Duration wait)
             throws Unreachable, InterruptedException {
         long first = ticker.nanos();
         long until = first + within.toNanos();
         seq++;
         while (true) {
-            ObjectNode body = Codec.json().createObjectNode().put("client", session).put("seq", seq)
-                .put("waitMs", wait.toMillis());
+            ObjectNode body =
+                    Codec.json()
+                            .createObjectNode()
+                            .put("client", session)
+                            .put("seq", seq)
+                            .put("waitMs", wait.toMillis());
             body.set("command", Codec.json().valueToTree(command));
             JsonNode answer = call("POST", "/v1/do", body.toString(), until, PATIENCE.plus(wait));
             Reply reply;
             try {
                 reply = Codec.json().treeToValue(answer, Reply.class);
             } catch (IOException unknown) {
-                throw new Unreachable("an answer that this build does not know: " + unknown.getMessage());
+                throw new Unreachable(
+                        "an answer that this build does not know: " + unknown.getMessage());
             }
             if (reply instanceof Refused no && no.code().equals("session-lost")) {
                 session = UUID.randomUUID().toString(); // the caller decides whether to ask again
@@ -94,24 +105,29 @@
     }
 
     /**
-     * Reads; the answer is of the group as it was after the call began, unless the path asks for a stale
-     * one.
+     * Reads; the answer is of the group as it was after the call began, unless the path asks for a
+     * stale one.
      */
-    public synchronized JsonNode get(String path, Duration within) throws Unreachable, InterruptedException {
+    public synchronized JsonNode get(String path, Duration within)
+            throws Unreachable, InterruptedException {
         return call("GET", path, null, ticker.nanos() + within.toNanos(), PATIENCE.plusSeconds(2));
     }
 
     /** Posts an operator's call, which may be sent more than once. */
     public synchronized JsonNode post(String path, JsonNode body, Duration within)
             throws Unreachable, InterruptedException {
-        return call("POST", path, body.toString(), ticker.nanos() + within.toNanos(),
-            PATIENCE.multipliedBy(3));
+        return call(
+                "POST",
+                path,
+                body.toString(),
+                ticker.nanos() + within.toNanos(),
+                PATIENCE.multipliedBy(3));
     }
 
     private JsonNode call(String method, String path, String body, long until, Duration patience)
             throws Unreachable, InterruptedException {
         String last = "no replica answers";
-        for (long pause = LEAST_PAUSE_MS;; pause = Math.min(MOST_PAUSE_MS, pause * 2)) {
+        for (long pause = LEAST_PAUSE_MS; ; pause = Math.min(MOST_PAUSE_MS, pause * 2)) {
             long left = until - ticker.nanos();
             if (left <= 0) {
                 throw new Unreachable(last);
@@ -119,43 +135,60 @@
             String place = leader != null ? leader : places.get(next);
             try {
                 Duration timeout =
-                    Duration.ofNanos(Math.max(1_000_000, Math.min(left, patience.toNanos())));
-                HttpResponse<String> response = http.send(request(method, place, path, body, timeout),
-                    HttpResponse.BodyHandlers.ofString());
+                        Duration.ofNanos(Math.max(1_000_000, Math.min(left, patience.toNanos())));
+                HttpResponse<String> response =
+                        http.send(
+                                request(method, place, path, body, timeout),
+                                HttpResponse.BodyHandlers.ofString());
                 JsonNode answer = Codec.json().readTree(response.body());
                 if (response.statusCode() == 200) {
                     leader = place;
                     return answer;
                 }
-                last = place + ": " + answer.path("error").asText("status " + response.statusCode());
+                last =
+                        place
+                                + ": "
+                                + answer.path("error").asText("status " + response.statusCode());
                 if (response.statusCode() == 400 || response.statusCode() == 404) {
                     throw new IllegalArgumentException(last);
                 }
                 elsewhere(answer.path("leader").asText(null), place);
             } catch (IOException silent) {
-                last = place + ": " + (silent.getMessage() == null ? "no answer" : silent.getMessage());
+                last =
+                        place
+                                + ": "
+                                + (silent.getMessage() == null ? "no answer" : silent.getMessage());
                 elsewhere(null, place);
             }
-            Thread.sleep(Math.min(Math.max(1, left / 1_000_000),
-                pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1)));
+            Thread.sleep(
+                    Math.min(
+                            Math.max(1, left / 1_000_000),
+                            pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1)));
         }
     }
 
-    private static HttpRequest request(String method, String place, String path, String body,
-            Duration timeout) {
+    private static HttpRequest request(
+            String method, String place, String path, String body, Duration timeout) {
         HttpRequest.Builder request =
-            HttpRequest.newBuilder(URI.create("http://" + place + path)).timeout(timeout);
-        return (body == null ? request.GET()
-            : request.method(method, HttpRequest.BodyPublishers.ofString(body))).build();
+                HttpRequest.newBuilder(URI.create("http://" + place + path)).timeout(timeout);
+        return (body == null
+                        ? request.GET()
+                        : request.method(method, HttpRequest.BodyPublishers.ofString(body)))
+                .build();
     }
 
     /**
-     * The next call goes to who is said to lead, unless that is who has just not served, else to the
-     * next.
+     * The next call goes to who is said to lead, unless that is who has just not served, else to
+     * the next.
      */
     private void elsewhere(String toldLeader, String not) {
-        leader = toldLeader == null || toldLeader.equals(not) || !places.contains(toldLeader)
-            && !toldLeader.matches("[0-9.]+:\\d+") ? null : toldLeader;
+        leader =
+                toldLeader == null
+                                || toldLeader.equals(not)
+                                || !places.contains(toldLeader)
+                                        && !toldLeader.matches("[0-9.]+:\\d+")
+                        ? null
+                        : toldLeader;
         if (leader == null) {
             next = (next + 1) % places.size();
         }
--- a/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
@@ -16,17 +16,19 @@
 import saltstage.coordinator.model.Refused;
 
 /**
- * Holds leases. What it holds it counts on its own monotonic clock from the moment at which the question was
- * first sent, less what two clocks may drift apart; it stops before the group may give the lease on. A thread
- * renews what is held. No lease can stop a write that is already under way when its holder is paused: whoever
- * is written to must refuse a fence lower than one that it has seen.
+ * Holds leases. What it holds it counts on its own monotonic clock from the moment at which the
+ * question was first sent, less what two clocks may drift apart; it stops before the group may give
+ * the lease on. A thread renews what is held. No lease can stop a write that is already under way
+ * when its holder is paused: whoever is written to must refuse a fence lower than one that it has
+ * seen.
  */
 public final class LeaseClient implements AutoCloseable {
     /**
-     * Two monotonic clocks may differ in rate by so much, by what is promised: machines keep a hundredth
-     * of it.
+     * Two monotonic clocks may differ in rate by so much, by what is promised: machines keep a
+     * hundredth of it.
      */
     public static final double DRIFT = 0.02;
+
     private static final int RENEWALS_A_TTL = 4;
     private static final Duration QUEUE = Duration.ofMillis(900);
 
@@ -56,7 +58,9 @@
     private final Thread renewer;
     private volatile boolean closed;
 
-    /** Holds leases of a group under a name that people know; each process is an owner of its own. */
+    /**
+     * Holds leases of a group under a name that people know; each process is an owner of its own.
+     */
     public LeaseClient(GroupClient group, GroupClient renewing, Ticker ticker, String name) {
         this.group = group;
         this.renewing = renewing;
@@ -134,7 +138,9 @@
             held.remove(name, this);
             if (mine) {
                 try {
-                    group.send(new Release(name, owner, fence), Duration.ofMillis(Math.min(ttlMs, 3_000)));
+                    group.send(
+                            new Release(name, owner, fence),
+                            Duration.ofMillis(Math.min(ttlMs, 3_000)));
                 } catch (Unreachable itExpires) {
                     return;
                 } catch (InterruptedException ended) {
@@ -159,11 +165,16 @@
         while (true) {
             long left = until - ticker.nanos();
             boolean queue = left > 0;
-            Duration hold = queue ? QUEUE.toNanos() < left ? QUEUE : Duration.ofNanos(left) : Duration.ZERO;
-            Said said = group.send(new Acquire(name, owner, ttl.toMillis(), priority, queue),
-                Duration.ofNanos(Math.max(left, 3_000_000_000L)), hold);
+            Duration hold =
+                    queue ? QUEUE.toNanos() < left ? QUEUE : Duration.ofNanos(left) : Duration.ZERO;
+            Said said =
+                    group.send(
+                            new Acquire(name, owner, ttl.toMillis(), priority, queue),
+                            Duration.ofNanos(Math.max(left, 3_000_000_000L)),
+                            hold);
             if (said.reply() instanceof Granted granted) {
-                Lease lease = new Lease(name, granted.fence(), granted.ttlMs(), said.sentNanos(), onLoss);
+                Lease lease =
+                        new Lease(name, granted.fence(), granted.ttlMs(), said.sentNanos(), onLoss);
                 if (lease.remaining().isZero()) {
                     continue; // the answer came so late that it is worth nothing
                 }
@@ -174,9 +185,15 @@
                 throw new NotGranted(no.why());
             }
             if (!queue) {
-                throw new NotGranted(said.reply() instanceof Held by
-                    ? name + " is held by " + by.holder() + " for " + by.remainingMs() + " ms more"
-                    : "the session was lost");
+                throw new NotGranted(
+                        said.reply() instanceof Held by
+                                ? name
+                                        + " is held by "
+                                        + by.holder()
+                                        + " for "
+                                        + by.remainingMs()
+                                        + " ms more"
+                                : "the session was lost");
             }
         }
     }
--- a/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
@@ -22,16 +22,27 @@
 import saltstage.log.Log;
 
 /** Which tenants to move between nodes. */
-@Command(name = "advice", description = "Which tenants to move between nodes.",
-    mixinStandardHelpOptions = true, subcommands = {AdviceCommand.Show.class, AdviceCommand.Accept.class,
-        AdviceCommand.Refuse.class, AdviceCommand.Advise.class})
+@Command(
+        name = "advice",
+        description = "Which tenants to move between nodes.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            AdviceCommand.Show.class,
+            AdviceCommand.Accept.class,
+            AdviceCommand.Refuse.class,
+            AdviceCommand.Advise.class
+        })
 final class AdviceCommand {
-    private AdviceCommand() {
-    }
+    private AdviceCommand() {}
 
     private static int decide(Group group, long id, boolean accept) throws Exception {
-        Reply reply = group.client().send(new AdviceCommands.Decide(id, accept,
-            System.getProperty("user.name")), group.within()).reply();
+        Reply reply =
+                group.client()
+                        .send(
+                                new AdviceCommands.Decide(
+                                        id, accept, System.getProperty("user.name")),
+                                group.within())
+                        .reply();
         if (reply instanceof Refused no) {
             System.err.println("saltstage: " + no.why());
             return 1;
@@ -41,11 +52,13 @@
     }
 
     /** What was said. */
-    @Command(name = "list", aliases = "history", description = "Shows recommendations and what became of"
-        + " them.", mixinStandardHelpOptions = true)
+    @Command(
+            name = "list",
+            aliases = "history",
+            description = "Shows recommendations and what became of" + " them.",
+            mixinStandardHelpOptions = true)
     static final class Show implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Override
         public Integer call() throws Exception {
@@ -57,12 +70,19 @@
             System.out.println(read.path("book").path("why").asText());
             for (JsonNode row : read.path("book").path("rows")) {
                 JsonNode move = row.path("move");
-                System.out.printf("%d %s: %d connections of %s from %s to %s, gain %.0f for %.0f,"
-                    + " confidence %.2f; %s%n", row.path("id").asLong(), row.path("state").asText(),
-                    move.path("connections").asInt(), move.path("tenant").asText(),
-                    move.path("from").asText(),
-                    move.path("to").asText(), move.path("gain").asDouble(), move.path("cost").asDouble(),
-                    move.path("confidence").asDouble(), move.path("why").asText());
+                System.out.printf(
+                        "%d %s: %d connections of %s from %s to %s, gain %.0f for %.0f,"
+                                + " confidence %.2f; %s%n",
+                        row.path("id").asLong(),
+                        row.path("state").asText(),
+                        move.path("connections").asInt(),
+                        move.path("tenant").asText(),
+                        move.path("from").asText(),
+                        move.path("to").asText(),
+                        move.path("gain").asDouble(),
+                        move.path("cost").asDouble(),
+                        move.path("confidence").asDouble(),
+                        move.path("why").asText());
             }
             return 0;
         }
@@ -71,8 +91,7 @@
     /** Taken up. */
     @Command(name = "accept", description = "Takes one up.", mixinStandardHelpOptions = true)
     static final class Accept implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NUMBER")
         private long id;
@@ -86,8 +105,7 @@
     /** Turned down. */
     @Command(name = "refuse", description = "Turns one down.", mixinStandardHelpOptions = true)
     static final class Refuse implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NUMBER")
         private long id;
@@ -99,27 +117,32 @@
     }
 
     /** The advisor: one of any number speaks, the one that holds the lease. */
-    @Command(name = "serve", description = "Runs an advisor; one of several speaks, under a lease.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "serve",
+            description = "Runs an advisor; one of several speaks, under a lease.",
+            mixinStandardHelpOptions = true)
     static final class Advise implements Callable<Integer> {
         private static final java.time.Duration LEASE = java.time.Duration.ofSeconds(5);
         private static final java.time.Duration WAIT = java.time.Duration.ofSeconds(30);
 
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Option(names = "--every", converter = Group.Span.class, defaultValue = "2s")
         private java.time.Duration every;
 
         @Override
         public Integer call() throws Exception {
-            LeaseClient leases = new LeaseClient(group.client(), group.client(), Ticker.SYSTEM,
-                "advisor-" + ProcessHandle.current().pid());
+            LeaseClient leases =
+                    new LeaseClient(
+                            group.client(),
+                            group.client(),
+                            Ticker.SYSTEM,
+                            "advisor-" + ProcessHandle.current().pid());
             Runtime.getRuntime().addShutdownHook(new Thread(leases::close));
             GroupClient client = group.client();
             while (true) {
                 try (LeaseClient.Lease lease =
-                        leases.acquire(AdviceCommands.LEASE, LEASE, WAIT, 0, () -> { })) {
+                        leases.acquire(AdviceCommands.LEASE, LEASE, WAIT, 0, () -> {})) {
                     Log.info("advisor.speaks", "fence", lease.fence());
                     while (true) {
                         lease.checkStillHeld();
@@ -146,10 +169,15 @@
             }
             Set<String> avoid = new HashSet<>();
             read.path("avoid").forEach(name -> avoid.add(name.asText()));
-            Advisor.Advice advice = new Advisor(Advisor.Rules.usual()).advise(views, avoid, made, 0);
+            Advisor.Advice advice =
+                    new Advisor(Advisor.Rules.usual()).advise(views, avoid, made, 0);
             lease.checkStillHeld();
-            Reply reply = client.send(new AdviceCommands.Advise(owner, lease.fence(), advice.moves(),
-                advice.why()), group.within()).reply();
+            Reply reply =
+                    client.send(
+                                    new AdviceCommands.Advise(
+                                            owner, lease.fence(), advice.moves(), advice.why()),
+                                    group.within())
+                            .reply();
             if (reply instanceof Refused no) {
                 Log.warn("advisor.refused", "why", no.why());
             }
--- a/coordinator/src/main/java/saltstage/coordinator/command/AgentCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AgentCommand.java
@@ -11,21 +11,31 @@
 import saltstage.coordinator.settings.AgentSettings;
 
 /** A region's agent. */
-@Command(name = "agent", description = "Carries a region's maintenance windows out, until it is ended.",
-    mixinStandardHelpOptions = true)
+@Command(
+        name = "agent",
+        description = "Carries a region's maintenance windows out, until it is ended.",
+        mixinStandardHelpOptions = true)
 final class AgentCommand implements Callable<Integer> {
-    @CommandLine.Mixin
-    private Group group;
+    @CommandLine.Mixin private Group group;
 
-    @Option(names = "--agent", required = true, paramLabel = "FILE", description = "the agent's settings")
+    @Option(
+            names = "--agent",
+            required = true,
+            paramLabel = "FILE",
+            description = "the agent's settings")
     private Path file;
 
     @Override
     public Integer call() throws Exception {
         AgentSettings settings = AgentSettings.read(file);
-        try (LeaseClient leases = new LeaseClient(group.client(), group.client(), Ticker.SYSTEM,
-                "agent-" + settings.region() + "-" + ProcessHandle.current().pid())) {
-            Runtime.getRuntime().addShutdownHook(new Thread(leases::close)); // a successor need not wait
+        try (LeaseClient leases =
+                new LeaseClient(
+                        group.client(),
+                        group.client(),
+                        Ticker.SYSTEM,
+                        "agent-" + settings.region() + "-" + ProcessHandle.current().pid())) {
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(leases::close)); // a successor need not wait
             new Agent(settings, group.client(), leases).run();
         }
         return 0;
--- a/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
@@ -28,22 +28,34 @@
 import saltstage.wire.MalformedException;
 
 /** Replicas: running them, and who belongs to the group. */
-@Command(name = "cluster", description = "The replicas of a group.", mixinStandardHelpOptions = true,
-    subcommands = {ClusterCommand.Serve.class, ClusterCommand.Status.class, ClusterCommand.Leave.class,
-        ClusterCommand.Transfer.class})
+@Command(
+        name = "cluster",
+        description = "The replicas of a group.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            ClusterCommand.Serve.class,
+            ClusterCommand.Status.class,
+            ClusterCommand.Leave.class,
+            ClusterCommand.Transfer.class
+        })
 final class ClusterCommand {
-    private ClusterCommand() {
-    }
+    private ClusterCommand() {}
 
     /** One replica. */
-    @Command(name = "serve", description = "Runs a replica until SIGTERM.", mixinStandardHelpOptions = true)
+    @Command(
+            name = "serve",
+            description = "Runs a replica until SIGTERM.",
+            mixinStandardHelpOptions = true)
     static final class Serve implements Callable<Integer> {
         private static final Duration JOIN_AGAIN = Duration.ofMillis(300);
 
         @Option(names = "--settings", required = true, paramLabel = "FILE")
         private Path settings;
 
-        @Option(names = "--name", required = true, description = "which member of the settings this is")
+        @Option(
+                names = "--name",
+                required = true,
+                description = "which member of the settings this is")
         private String name;
 
         @Option(names = "--dir", description = "its folder, in place of the settings'")
@@ -62,13 +74,28 @@
             CountDownLatch stopped = new CountDownLatch(1);
             Files.createDirectories(mine.dir());
             Store store = Store.open(new FileDisk(mine.dir()), StoreOptions.usual(), Log::info);
-            try (Replica replica = new Replica(mine, store,
-                    new NettyTransport(1, true, (where, fault) -> Log.error("loop.fault." + where, fault)),
-                    Serve::fatal);
+            try (Replica replica =
+                            new Replica(
+                                    mine,
+                                    store,
+                                    new NettyTransport(
+                                            1,
+                                            true,
+                                            (where, fault) ->
+                                                    Log.error("loop.fault." + where, fault)),
+                                    Serve::fatal);
                     HttpListener listener = new HttpListener(mine.clients(), new Front(replica))) {
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> end(stop, stopped)));
-                Log.info("replica.ready", "name", name, "group", mine.group(), "clients", mine.clients(),
-                    "disk", replica.disk());
+                Log.info(
+                        "replica.ready",
+                        "name",
+                        name,
+                        "group",
+                        mine.group(),
+                        "clients",
+                        mine.clients(),
+                        "disk",
+                        replica.disk());
                 if (place != null) {
                     join(read, mine, replica.disk());
                 }
@@ -89,7 +116,8 @@
             if (parts.length != 2) {
                 throw new MalformedException("--join takes PEERS,CLIENTS, each as ADDRESS:PORT");
             }
-            return new CoordinatorSettings.Place(HostList.address(parts[0]), HostList.address(parts[1]));
+            return new CoordinatorSettings.Place(
+                    HostList.address(parts[0]), HostList.address(parts[1]));
         }
 
         private static void end(CountDownLatch stop, CountDownLatch stopped) {
@@ -101,7 +129,9 @@
             }
         }
 
-        /** What is known is not enough to go on: the process ends at once, without another write. */
+        /**
+         * What is known is not enough to go on: the process ends at once, without another write.
+         */
         private static void fatal(int code, String why) {
             System.err.println("saltstage: " + why);
             Runtime.getRuntime().halt(code);
@@ -111,26 +141,38 @@
         private static void handOver(Replica replica) {
             try {
                 Replica.Status now = replica.status().get(1, java.util.concurrent.TimeUnit.SECONDS);
-                String to = now.voters().stream().filter(v -> now.links().getOrDefault(v, false)).findFirst()
-                    .orElse(null);
+                String to =
+                        now.voters().stream()
+                                .filter(v -> now.links().getOrDefault(v, false))
+                                .findFirst()
+                                .orElse(null);
                 if (now.name().equals(now.leader()) && to != null) {
                     replica.transfer(to).get(2, java.util.concurrent.TimeUnit.SECONDS);
                     Log.info("replica.handed-over", "to", to);
                 }
-            } catch (InterruptedException | java.util.concurrent.ExecutionException
-                | java.util.concurrent.TimeoutException notNow) {
+            } catch (InterruptedException
+                    | java.util.concurrent.ExecutionException
+                    | java.util.concurrent.TimeoutException notNow) {
                 Log.warn("replica.kept-lead", "why", notNow.toString());
             }
         }
 
         private void join(CoordinatorSettings read, ReplicaSettings mine, String disk)
                 throws InterruptedException, MalformedException, IOException {
-            GroupClient group = new GroupClient(read.members().values().stream()
-                .map(at -> text(at.clients())).toList(), saltstage.coordinator.client.Ticker.SYSTEM);
-            JsonNode body = Codec.json().createObjectNode().put("name", name).put("disk", disk)
-                .put("peers", text(mine.peers())).put("clients", text(mine.clients()));
+            GroupClient group =
+                    new GroupClient(
+                            read.members().values().stream().map(at -> text(at.clients())).toList(),
+                            saltstage.coordinator.client.Ticker.SYSTEM);
+            JsonNode body =
+                    Codec.json()
+                            .createObjectNode()
+                            .put("name", name)
+                            .put("disk", disk)
+                            .put("peers", text(mine.peers()))
+                            .put("clients", text(mine.clients()));
             for (String state = ""; !state.equals("votes"); Thread.sleep(JOIN_AGAIN.toMillis())) {
-                String now = group.post("/v1/join", body, Duration.ofSeconds(30)).path("state").asText();
+                String now =
+                        group.post("/v1/join", body, Duration.ofSeconds(30)).path("state").asText();
                 if (!now.equals(state)) {
                     Log.info("replica.joins", "state", now);
                 }
@@ -144,11 +186,12 @@
     }
 
     /** How each stands. */
-    @Command(name = "status", description = "How each replica stands; exit 1 where no majority does.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "status",
+            description = "How each replica stands; exit 1 where no majority does.",
+            mixinStandardHelpOptions = true)
     static final class Status implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Override
         public Integer call() throws Exception {
@@ -157,17 +200,30 @@
             java.util.Map<String, Object> all = new java.util.LinkedHashMap<>();
             for (String place : group.places()) {
                 try {
-                    JsonNode one = new GroupClient(java.util.List.of(place),
-                        saltstage.coordinator.client.Ticker.SYSTEM).get("/v1/status", Duration.ofSeconds(2));
+                    JsonNode one =
+                            new GroupClient(
+                                            java.util.List.of(place),
+                                            saltstage.coordinator.client.Ticker.SYSTEM)
+                                    .get("/v1/status", Duration.ofSeconds(2));
                     all.put(place, one);
                     answers++;
-                    leader = one.path("role").asText().equals("leader") ? one.path("name").asText() : leader;
+                    leader =
+                            one.path("role").asText().equals("leader")
+                                    ? one.path("name").asText()
+                                    : leader;
                     if (!group.json()) {
-                        System.out.printf("%-8s %-9s term %d, commit %d of %d, snapshot %d, level %d of %d,"
-                            + " voters %s%n", one.path("name").asText(), one.path("role").asText(),
-                            one.path("term").asInt(), one.path("commitIndex").asLong(),
-                            one.path("lastIndex").asLong(), one.path("snapshotIndex").asLong(),
-                            one.path("level").asInt(), one.path("speaks").asInt(), one.path("voters"));
+                        System.out.printf(
+                                "%-8s %-9s term %d, commit %d of %d, snapshot %d, level %d of %d,"
+                                        + " voters %s%n",
+                                one.path("name").asText(),
+                                one.path("role").asText(),
+                                one.path("term").asInt(),
+                                one.path("commitIndex").asLong(),
+                                one.path("lastIndex").asLong(),
+                                one.path("snapshotIndex").asLong(),
+                                one.path("level").asInt(),
+                                one.path("speaks").asInt(),
+                                one.path("voters"));
                     }
                 } catch (GroupClient.Unreachable silent) {
                     all.put(place, Group.pairs("error", silent.getMessage()));
@@ -184,37 +240,48 @@
     }
 
     /** Takes a member out. */
-    @Command(name = "leave", description = "Takes a member out of the group: leaving, dead or wiped.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "leave",
+            description = "Takes a member out of the group: leaving, dead or wiped.",
+            mixinStandardHelpOptions = true)
     static final class Leave implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
 
         @Override
         public Integer call() throws Exception {
-            JsonNode said = group.client().post("/v1/leave",
-                Codec.json().createObjectNode().put("name", name), group.within());
+            JsonNode said =
+                    group.client()
+                            .post(
+                                    "/v1/leave",
+                                    Codec.json().createObjectNode().put("name", name),
+                                    group.within());
             group.print(said, name + ": " + said.path("state").asText());
             return 0;
         }
     }
 
     /** Another leader. */
-    @Command(name = "transfer", description = "Hands the lead to a member.", mixinStandardHelpOptions = true)
+    @Command(
+            name = "transfer",
+            description = "Hands the lead to a member.",
+            mixinStandardHelpOptions = true)
     static final class Transfer implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
 
         @Override
         public Integer call() throws Exception {
-            JsonNode said = group.client().post("/v1/transfer",
-                Codec.json().createObjectNode().put("to", name), group.within());
+            JsonNode said =
+                    group.client()
+                            .post(
+                                    "/v1/transfer",
+                                    Codec.json().createObjectNode().put("to", name),
+                                    group.within());
             group.print(said, name + ": " + said.path("state").asText());
             return 0;
         }
--- a/coordinator/src/main/java/saltstage/coordinator/command/Group.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Group.java
@@ -21,15 +21,22 @@
     @Option(names = "--settings", paramLabel = "FILE", description = "the group's settings (HCL)")
     private Path settings;
 
-    @Option(names = "--at", split = ",", paramLabel = "HOST:PORT",
-        description = "where replicas take calls, in place of the settings")
+    @Option(
+            names = "--at",
+            split = ",",
+            paramLabel = "HOST:PORT",
+            description = "where replicas take calls, in place of the settings")
     private List<String> at;
 
     @Option(names = "--json", description = "print JSON")
     private boolean json;
 
-    @Option(names = "--within", paramLabel = "SPAN", converter = Span.class, defaultValue = "5s",
-        description = "how long to try (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--within",
+            paramLabel = "SPAN",
+            converter = Span.class,
+            defaultValue = "5s",
+            description = "how long to try (default: ${DEFAULT-VALUE})")
     private Duration within;
 
     /** A span such as 250ms, 10s or 5m. */
@@ -40,7 +47,8 @@
         public Duration convert(String text) {
             Matcher parts = FORM.matcher(text);
             if (!parts.matches()) {
-                throw new TypeConversionException("'" + text + "' is no span such as 250ms, 10s or 5m");
+                throw new TypeConversionException(
+                        "'" + text + "' is no span such as 250ms, 10s or 5m");
             }
             long n = Long.parseLong(parts.group(1));
             return switch (parts.group(2)) {
@@ -60,7 +68,8 @@
             throw new MalformedException("name the group by --settings FILE or --at HOST:PORT");
         }
         return CoordinatorSettings.read(settings).members().values().stream()
-            .map(place -> place.clients().getHostString() + ":" + place.clients().getPort()).toList();
+                .map(place -> place.clients().getHostString() + ":" + place.clients().getPort())
+                .toList();
     }
 
     GroupClient client() throws MalformedException {
--- a/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
@@ -22,13 +22,20 @@
 import saltstage.coordinator.model.Refused;
 
 /** Leases by hand, and programs that run only while they hold one. */
-@Command(name = "lease", description = "Leases: for tasks of which the fleet wants one doer.",
-    mixinStandardHelpOptions = true, subcommands = {LeaseCommand.Acquire.class, LeaseCommand.Renew.class,
-        LeaseCommand.Release.class, LeaseCommand.Show.class, LeaseCommand.Watch.class,
-        LeaseCommand.Exec.class})
+@Command(
+        name = "lease",
+        description = "Leases: for tasks of which the fleet wants one doer.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            LeaseCommand.Acquire.class,
+            LeaseCommand.Renew.class,
+            LeaseCommand.Release.class,
+            LeaseCommand.Show.class,
+            LeaseCommand.Watch.class,
+            LeaseCommand.Exec.class
+        })
 final class LeaseCommand {
-    private LeaseCommand() {
-    }
+    private LeaseCommand() {}
 
     private static int refused(Refused no) {
         System.err.println("saltstage: " + no.why());
@@ -36,11 +43,12 @@
     }
 
     /** Takes one for a span; nobody renews it but who calls again. */
-    @Command(name = "acquire", description = "Takes a lease under an owner's name; prints its fence.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "acquire",
+            description = "Takes a lease under an owner's name; prints its fence.",
+            mixinStandardHelpOptions = true)
     static final class Acquire implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -53,13 +61,19 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said = group.client().send(
-                new LeaseCommands.Acquire(name, owner, ttl.toMillis(), 0, false), group.within());
+            Said said =
+                    group.client()
+                            .send(
+                                    new LeaseCommands.Acquire(
+                                            name, owner, ttl.toMillis(), 0, false),
+                                    group.within());
             if (said.reply() instanceof Refused no) {
                 return refused(no);
             }
             if (said.reply() instanceof LeaseReplies.Held held) {
-                group.print(held, name + ": held by " + held.holder() + " for " + held.remainingMs() + " ms");
+                group.print(
+                        held,
+                        name + ": held by " + held.holder() + " for " + held.remainingMs() + " ms");
                 return Coordinator.LOST;
             }
             group.print(said.reply(), Long.toString(((LeaseReplies.Granted) said.reply()).fence()));
@@ -68,11 +82,12 @@
     }
 
     /** Holds one longer. */
-    @Command(name = "renew", description = "Holds a lease for its span again.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "renew",
+            description = "Holds a lease for its span again.",
+            mixinStandardHelpOptions = true)
     static final class Renew implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -85,8 +100,11 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said = group.client().send(new LeaseCommands.Renew(owner, java.util.Map.of(name, fence)),
-                group.within());
+            Said said =
+                    group.client()
+                            .send(
+                                    new LeaseCommands.Renew(owner, java.util.Map.of(name, fence)),
+                                    group.within());
             if (said.reply() instanceof Refused no) {
                 return refused(no);
             }
@@ -99,8 +117,7 @@
     /** Gives one back. */
     @Command(name = "release", description = "Gives a lease back.", mixinStandardHelpOptions = true)
     static final class Release implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -113,7 +130,9 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said = group.client().send(new LeaseCommands.Release(name, owner, fence), group.within());
+            Said said =
+                    group.client()
+                            .send(new LeaseCommands.Release(name, owner, fence), group.within());
             if (said.reply() instanceof Refused no) {
                 return refused(no);
             }
@@ -125,8 +144,7 @@
     /** All of them. */
     @Command(name = "list", description = "Shows leases.", mixinStandardHelpOptions = true)
     static final class Show implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Option(names = "--prefix", defaultValue = "")
         private String prefix;
@@ -136,29 +154,37 @@
 
         @Override
         public Integer call() throws Exception {
-            JsonNode read = group.client().get("/v1/leases?prefix="
-                + URLEncoder.encode(prefix, StandardCharsets.UTF_8) + (stale ? "&stale=1" : ""),
-                group.within());
+            JsonNode read =
+                    group.client()
+                            .get(
+                                    "/v1/leases?prefix="
+                                            + URLEncoder.encode(prefix, StandardCharsets.UTF_8)
+                                            + (stale ? "&stale=1" : ""),
+                                    group.within());
             if (group.json()) {
                 System.out.println(read);
                 return 0;
             }
             for (JsonNode row : read.path("leases")) {
-                System.out.printf("%-30s %-40s fence %d, %d ms left, %d waiting%n", row.path("name").asText(),
-                    row.path("owner").asText("(free)"), row.path("fence").asLong(),
-                    Math.max(0, row.path("expires").asLong() - read.path("groupNow").asLong()),
-                    row.path("waiters").size());
+                System.out.printf(
+                        "%-30s %-40s fence %d, %d ms left, %d waiting%n",
+                        row.path("name").asText(),
+                        row.path("owner").asText("(free)"),
+                        row.path("fence").asLong(),
+                        Math.max(0, row.path("expires").asLong() - read.path("groupNow").asLong()),
+                        row.path("waiters").size());
             }
             return 0;
         }
     }
 
     /** Each change of one. */
-    @Command(name = "watch", description = "Prints a line at each change of a lease, until it is ended.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "watch",
+            description = "Prints a line at each change of a lease, until it is ended.",
+            mixinStandardHelpOptions = true)
     static final class Watch implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -170,16 +196,26 @@
         public Integer call() throws Exception {
             GroupClient client = group.client();
             long after = -1;
-            for (int seen = 0; seen < changes;) {
-                JsonNode read = client.get("/v1/lease?waitMs=1500&after=" + Math.max(0, after) + "&name="
-                    + URLEncoder.encode(name, StandardCharsets.UTF_8), group.within());
+            for (int seen = 0; seen < changes; ) {
+                JsonNode read =
+                        client.get(
+                                "/v1/lease?waitMs=1500&after="
+                                        + Math.max(0, after)
+                                        + "&name="
+                                        + URLEncoder.encode(name, StandardCharsets.UTF_8),
+                                group.within());
                 JsonNode row = read.path("leases").path(0);
                 long revision = row.path("revision").asLong(0);
                 if (revision != after) {
                     after = revision;
                     seen++;
-                    group.print(read, row.path("owner").isTextual() ? row.path("owner").asText() + " fence "
-                        + row.path("fence").asLong() : "free");
+                    group.print(
+                            read,
+                            row.path("owner").isTextual()
+                                    ? row.path("owner").asText()
+                                            + " fence "
+                                            + row.path("fence").asLong()
+                                    : "free");
                 }
             }
             return 0;
@@ -187,16 +223,20 @@
     }
 
     /** A program under a lease. */
-    @Command(name = "exec", description = "Runs a command while a lease is held, which is renewed meanwhile;"
-        + " the command finds SALTSTAGE_LEASE and SALTSTAGE_FENCE."
-            + " It is ended before the lease can pass on.",
-        mixinStandardHelpOptions = true)
+    @Command(
+            name = "exec",
+            description =
+                    "Runs a command while a lease is held, which is renewed meanwhile;"
+                            + " the command finds SALTSTAGE_LEASE and SALTSTAGE_FENCE."
+                            + " It is ended before the lease can pass on.",
+            mixinStandardHelpOptions = true)
     static final class Exec implements Callable<Integer> {
-        /** Of a span, what is kept for the command's end: TERM, then KILL, must be over before it. */
+        /**
+         * Of a span, what is kept for the command's end: TERM, then KILL, must be over before it.
+         */
         private static final double FOR_THE_END = 0.4;
 
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(index = "0", paramLabel = "NAME")
         private String name;
@@ -204,8 +244,11 @@
         @Option(names = "--ttl", converter = Group.Span.class, defaultValue = "10s")
         private Duration ttl;
 
-        @Option(names = "--wait", converter = Group.Span.class, defaultValue = "0s",
-            description = "how long to wait for the lease")
+        @Option(
+                names = "--wait",
+                converter = Group.Span.class,
+                defaultValue = "0s",
+                description = "how long to wait for the lease")
         private Duration wait;
 
         @Option(names = "--priority", defaultValue = "0")
@@ -217,10 +260,15 @@
         @Override
         public Integer call() throws Exception {
             AtomicBoolean lost = new AtomicBoolean();
-            LeaseClient leases = new LeaseClient(group.client(), group.client(), Ticker.SYSTEM,
-                "exec-" + ProcessHandle.current().pid());
-            try (leases; LeaseClient.Lease lease = leases.acquire(name, ttl, wait, priority,
-                    () -> lost.set(true))) {
+            LeaseClient leases =
+                    new LeaseClient(
+                            group.client(),
+                            group.client(),
+                            Ticker.SYSTEM,
+                            "exec-" + ProcessHandle.current().pid());
+            try (leases;
+                    LeaseClient.Lease lease =
+                            leases.acquire(name, ttl, wait, priority, () -> lost.set(true))) {
                 ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
                 builder.environment().put("SALTSTAGE_LEASE", name);
                 builder.environment().put("SALTSTAGE_FENCE", Long.toString(lease.fence()));
@@ -247,9 +295,12 @@
             }
         }
 
-        /** TERM, and KILL at half of what remains: the child's last act lies before the lease's end. */
+        /**
+         * TERM, and KILL at half of what remains: the child's last act lies before the lease's end.
+         */
         private int end(Process child, LeaseClient.Lease lease) throws InterruptedException {
-            System.err.println("saltstage: lease " + name + " cannot be renewed; ending the command");
+            System.err.println(
+                    "saltstage: lease " + name + " cannot be renewed; ending the command");
             child.destroy();
             if (!child.waitFor(lease.remaining().toMillis() / 2, TimeUnit.MILLISECONDS)) {
                 child.destroyForcibly().waitFor();
--- a/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
@@ -20,20 +20,33 @@
 import saltstage.coordinator.window.Wish;
 
 /** Maintenance windows. */
-@CommandLine.Command(name = "window", description = "Maintenance windows across regions.",
-    mixinStandardHelpOptions = true, subcommands = {WindowCommand.Agree.class, WindowCommand.Propose.class,
-        WindowCommand.Show.class, WindowCommand.Withdraw.class, WindowCommand.Pause.class,
-        WindowCommand.Timeline.class})
+@CommandLine.Command(
+        name = "window",
+        description = "Maintenance windows across regions.",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            WindowCommand.Agree.class,
+            WindowCommand.Propose.class,
+            WindowCommand.Show.class,
+            WindowCommand.Withdraw.class,
+            WindowCommand.Pause.class,
+            WindowCommand.Timeline.class
+        })
 final class WindowCommand {
-    private WindowCommand() {
-    }
+    private WindowCommand() {}
 
     private static String line(Window window) {
-        return String.format("%d %s %s %s: %s for %s, by %s%s; %s", window.id(), window.state(),
-            window.wish().region(), window.wish().nodes(), window.start() == 0 ? "no time yet"
-            : Instant.ofEpochMilli(window.start()), Duration.ofMillis(window.wish().lasts()),
-            window.wish().by(), window.begun() == 0 ? "" : ", begun " + Instant.ofEpochMilli(window.begun()),
-            window.why());
+        return String.format(
+                "%d %s %s %s: %s for %s, by %s%s; %s",
+                window.id(),
+                window.state(),
+                window.wish().region(),
+                window.wish().nodes(),
+                window.start() == 0 ? "no time yet" : Instant.ofEpochMilli(window.start()),
+                Duration.ofMillis(window.wish().lasts()),
+                window.wish().by(),
+                window.begun() == 0 ? "" : ", begun " + Instant.ofEpochMilli(window.begun()),
+                window.why());
     }
 
     /** Sends a command and prints what came of it; 1 where it was refused. */
@@ -47,37 +60,46 @@
             return 1;
         }
         if (reply instanceof WindowReplies.Planned planned) {
-            group.print(planned, String.join("\n", planned.windows().stream().map(WindowCommand::line)
-                .toList()) + (planned.known() ? "\nit was asked for before" : ""));
+            group.print(
+                    planned,
+                    String.join("\n", planned.windows().stream().map(WindowCommand::line).toList())
+                            + (planned.known() ? "\nit was asked for before" : ""));
         } else {
-            group.print(reply, reply instanceof WindowReplies.Now now ? line(now.window()) : "done");
+            group.print(
+                    reply, reply instanceof WindowReplies.Now now ? line(now.window()) : "done");
         }
         return 0;
     }
 
     /** The agreement. */
-    @CommandLine.Command(name = "agree", mixinStandardHelpOptions = true,
-        description = "Puts the block 'fleet' of a file in force: regions, nodes, floors, black-outs.")
+    @CommandLine.Command(
+            name = "agree",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Puts the block 'fleet' of a file in force: regions, nodes, floors, black-outs.")
     static final class Agree implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "FILE")
         private Path file;
 
         @Override
         public Integer call() throws Exception {
-            return say(group, new WindowCommands.SetFleet(FleetSettings.read(file, Instant.now()),
-                System.getProperty("user.name")));
+            return say(
+                    group,
+                    new WindowCommands.SetFleet(
+                            FleetSettings.read(file, Instant.now()),
+                            System.getProperty("user.name")));
         }
     }
 
     /** A wish. */
-    @CommandLine.Command(name = "propose", description = "Asks for a window.",
-        mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "propose",
+            description = "Asks for a window.",
+            mixinStandardHelpOptions = true)
     static final class Propose implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(index = "0", paramLabel = "REGION")
         private String region;
@@ -109,34 +131,59 @@
         @Option(names = "--priority", defaultValue = "0")
         private int priority;
 
-        @Option(names = "--emergency", description = "goes before planned ones; never under a floor")
+        @Option(
+                names = "--emergency",
+                description = "goes before planned ones; never under a floor")
         private boolean emergency;
 
         @Option(names = "--split", description = "the nodes may go in several windows")
         private boolean split;
 
-        @Option(names = "--after", split = ",", description = "numbers of windows that must be over before")
+        @Option(
+                names = "--after",
+                split = ",",
+                description = "numbers of windows that must be over before")
         private List<Long> after = List.of();
 
-        @Option(names = "--apart", split = ",", description = "words: never together with one that has them")
+        @Option(
+                names = "--apart",
+                split = ",",
+                description = "words: never together with one that has them")
         private List<String> apart = List.of();
 
         @Override
         public Integer call() throws Exception {
             Instant from = earliest == null ? Instant.now() : earliest;
             Instant to = latest == null ? from.plus(Duration.ofDays(7)) : latest;
-            return say(group, new WindowCommands.Propose(new Wish(region, nodes, drain.toMillis(),
-                work.toMillis(), warm.toMillis(), from.toEpochMilli(), to.toEpochMilli(), priority, emergency,
-                split, after, apart, by, purpose)));
+            return say(
+                    group,
+                    new WindowCommands.Propose(
+                            new Wish(
+                                    region,
+                                    nodes,
+                                    drain.toMillis(),
+                                    work.toMillis(),
+                                    warm.toMillis(),
+                                    from.toEpochMilli(),
+                                    to.toEpochMilli(),
+                                    priority,
+                                    emergency,
+                                    split,
+                                    after,
+                                    apart,
+                                    by,
+                                    purpose)));
         }
     }
 
     /** All, or one. */
-    @CommandLine.Command(name = "list", aliases = {"show", "explain"}, mixinStandardHelpOptions = true,
-        description = "Shows windows, each with why it is where it is.")
+    @CommandLine.Command(
+            name = "list",
+            aliases = {"show", "explain"},
+            mixinStandardHelpOptions = true,
+            description = "Shows windows, each with why it is where it is.")
     static final class Show implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(arity = "0..1", paramLabel = "NUMBER")
         private Long id;
@@ -160,11 +207,12 @@
     }
 
     /** Not wanted any more. */
-    @CommandLine.Command(name = "withdraw", description = "Withdraws a window; turns a drain back.",
-        mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "withdraw",
+            description = "Withdraws a window; turns a drain back.",
+            mixinStandardHelpOptions = true)
     static final class Withdraw implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NUMBER")
         private long id;
@@ -176,11 +224,12 @@
     }
 
     /** Held back. */
-    @CommandLine.Command(name = "pause", description = "Holds a window back that has not begun.",
-        mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "pause",
+            description = "Holds a window back that has not begun.",
+            mixinStandardHelpOptions = true)
     static final class Pause implements Callable<Integer> {
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Parameters(paramLabel = "NUMBER")
         private long id;
@@ -195,13 +244,14 @@
     }
 
     /** Capacity over time. */
-    @CommandLine.Command(name = "timeline", description = "Capacity against each floor, from now on.",
-        mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "timeline",
+            description = "Capacity against each floor, from now on.",
+            mixinStandardHelpOptions = true)
     static final class Timeline implements Callable<Integer> {
         private static final int WIDTH = 40;
 
-        @CommandLine.Mixin
-        private Group group;
+        @CommandLine.Mixin private Group group;
 
         @Option(names = "--for", converter = Group.Span.class, defaultValue = "24h")
         private Duration span;
@@ -209,8 +259,14 @@
         @Override
         public Integer call() throws Exception {
             long now = System.currentTimeMillis();
-            JsonNode read = group.client().get("/v1/levels?most=48&from=" + now + "&to="
-                + (now + span.toMillis()), group.within());
+            JsonNode read =
+                    group.client()
+                            .get(
+                                    "/v1/levels?most=48&from="
+                                            + now
+                                            + "&to="
+                                            + (now + span.toMillis()),
+                                    group.within());
             if (group.json()) {
                 System.out.println(read);
                 return 0;
@@ -218,12 +274,22 @@
             for (JsonNode level : read) {
                 long there = level.path("capacity").asLong() + level.path("missing").asLong();
                 int filled = (int) (WIDTH * level.path("capacity").asLong() / Math.max(1, there));
-                int floor = (int) Math.min(WIDTH, WIDTH * level.path("need").asLong() / Math.max(1, there));
-                StringBuilder bar = new StringBuilder("#".repeat(filled) + ".".repeat(WIDTH - filled));
+                int floor =
+                        (int)
+                                Math.min(
+                                        WIDTH,
+                                        WIDTH * level.path("need").asLong() / Math.max(1, there));
+                StringBuilder bar =
+                        new StringBuilder("#".repeat(filled) + ".".repeat(WIDTH - filled));
                 bar.insert(floor, '|');
-                System.out.printf("%-12s %s %s %d of %d, floor %d%n", level.path("floor").asText(),
-                    Instant.ofEpochMilli(level.path("at").asLong()), bar,
-                    level.path("capacity").asLong() / 1000, there / 1000, level.path("need").asLong() / 1000);
+                System.out.printf(
+                        "%-12s %s %s %d of %d, floor %d%n",
+                        level.path("floor").asText(),
+                        Instant.ofEpochMilli(level.path("at").asLong()),
+                        bar,
+                        level.path("capacity").asLong() / 1000,
+                        there / 1000,
+                        level.path("need").asLong() / 1000);
             }
             return 0;
         }
--- a/coordinator/src/main/java/saltstage/coordinator/front/Front.java
+++ b/coordinator/src/main/java/saltstage/coordinator/front/Front.java
@@ -31,12 +31,13 @@
 import saltstage.coordinator.window.Window;
 
 /**
- * What clients can ask of a replica, without the sockets: a request's method, path and body in, an answer
- * out, sooner or later. Whatever is malformed gets one clear error and changes nothing.
+ * What clients can ask of a replica, without the sockets: a request's method, path and body in, an
+ * answer out, sooner or later. Whatever is malformed gets one clear error and changes nothing.
  */
 public final class Front {
     /** So many calls may be under way in all; the next are turned away at once. */
     static final int MOST_CALLS = 20_000;
+
     private static final long MOST_WAIT_MS = 2_000;
     private static final long ANSWER_MS = 5_000;
     private static final int BUSY_MS = 200;
@@ -44,12 +45,10 @@
     private static final long MOST_TIME = 4_102_444_800_000L;
 
     /** An answer: HTTP's status and a value that becomes JSON, or bytes as they are. */
-    record Answer(int status, Object body) {
-    }
+    record Answer(int status, Object body) {}
 
     /** An error as clients see it. */
-    record Fault(String error, long retryMs, String leader) {
-    }
+    record Fault(String error, long retryMs, String leader) {}
 
     private static final class BadRequest extends RuntimeException {
         private static final long serialVersionUID = 1L;
@@ -76,28 +75,36 @@
         if (calls.incrementAndGet() > MOST_CALLS) {
             calls.decrementAndGet();
             return CompletableFuture.completedFuture(
-                new Answer(503, new Fault("busy: too many calls", BUSY_MS, null)));
+                    new Answer(503, new Fault("busy: too many calls", BUSY_MS, null)));
         }
         CompletableFuture<Answer> answer;
         try {
-            answer = request.decoderResult().isSuccess() ? route(request)
-                : CompletableFuture.failedFuture(new BadRequest("not HTTP"));
+            answer =
+                    request.decoderResult().isSuccess()
+                            ? route(request)
+                            : CompletableFuture.failedFuture(new BadRequest("not HTTP"));
         } catch (BadRequest bad) {
             answer = CompletableFuture.failedFuture(bad);
         }
-        return answer.exceptionally(this::fault).completeOnTimeout(new Answer(503,
-            new Fault("open: no majority has answered", BUSY_MS, null)), ANSWER_MS, TimeUnit.MILLISECONDS)
-            .whenComplete((any, thrown) -> calls.decrementAndGet());
+        return answer.exceptionally(this::fault)
+                .completeOnTimeout(
+                        new Answer(503, new Fault("open: no majority has answered", BUSY_MS, null)),
+                        ANSWER_MS,
+                        TimeUnit.MILLISECONDS)
+                .whenComplete((any, thrown) -> calls.decrementAndGet());
     }
 
     private Answer fault(Throwable thrown) {
-        Throwable why = thrown instanceof CompletionException && thrown.getCause() != null
-            ? thrown.getCause() : thrown;
+        Throwable why =
+                thrown instanceof CompletionException && thrown.getCause() != null
+                        ? thrown.getCause()
+                        : thrown;
         if (why instanceof BadRequest || why instanceof IllegalArgumentException) {
             return new Answer(400, new Fault(why.getMessage(), 0, null));
         }
         if (why instanceof NotLeaderException) {
-            return new Answer(421, new Fault("another replica leads", BUSY_MS, replica.leaderClients()));
+            return new Answer(
+                    421, new Fault("another replica leads", BUSY_MS, replica.leaderClients()));
         }
         if (why instanceof CannotReplicateException) {
             return new Answer(503, new Fault("busy: too much waits for a majority", BUSY_MS, null));
@@ -116,21 +123,32 @@
             case "POST /v1/do" -> command(body(request));
             case "GET /v1/leases" -> leases(uri.parameters());
             case "GET /v1/lease" -> lease(uri.parameters());
-            case "GET /v1/windows" -> replica.read(state -> new Plans(state.windows().plan(),
-                state.windows().all(), state.time().day()), false).thenApply(read -> new Answer(200, read));
+            case "GET /v1/windows" ->
+                    replica.read(
+                                    state ->
+                                            new Plans(
+                                                    state.windows().plan(),
+                                                    state.windows().all(),
+                                                    state.time().day()),
+                                    false)
+                            .thenApply(read -> new Answer(200, read));
             case "GET /v1/levels" -> levels(uri.parameters());
             case "GET /v1/status" -> replica.status().thenApply(status -> new Answer(200, status));
             case "POST /v1/snapshot" -> snapshot(body(request));
             case "GET /v1/advice" -> advice();
             case "POST /v1/join" -> join(body(request));
-            case "POST /v1/leave" -> replica.leave(text(body(request), "name"))
-                .thenApply(state -> new Answer(200, Map.of("state", state)));
-            case "POST /v1/transfer" -> replica.transfer(text(body(request), "to"))
-                .thenApply(done -> new Answer(200, Map.of("state", "handed-over")));
-            case "GET /v1/backup" -> replica.read(GroupState::image, false)
-                .thenApply(image -> new Answer(200, Codec.snapshot(image)));
-            default -> CompletableFuture.completedFuture(
-                new Answer(404, new Fault("no such call: " + call, 0, null)));
+            case "POST /v1/leave" ->
+                    replica.leave(text(body(request), "name"))
+                            .thenApply(state -> new Answer(200, Map.of("state", state)));
+            case "POST /v1/transfer" ->
+                    replica.transfer(text(body(request), "to"))
+                            .thenApply(done -> new Answer(200, Map.of("state", "handed-over")));
+            case "GET /v1/backup" ->
+                    replica.read(GroupState::image, false)
+                            .thenApply(image -> new Answer(200, Codec.snapshot(image)));
+            default ->
+                    CompletableFuture.completedFuture(
+                            new Answer(404, new Fault("no such call: " + call, 0, null)));
         };
     }
 
@@ -138,7 +156,8 @@
 
     private static JsonNode body(FullHttpRequest request) {
         try {
-            JsonNode read = Codec.json().readTree(request.content().toString(StandardCharsets.UTF_8));
+            JsonNode read =
+                    Codec.json().readTree(request.content().toString(StandardCharsets.UTF_8));
             if (read == null || !read.isObject()) {
                 throw new BadRequest("the body is no JSON object");
             }
@@ -156,7 +175,8 @@
         return value.textValue();
     }
 
-    private static long whole(Map<String, List<String>> parameters, String name, long absent, long most) {
+    private static long whole(
+            Map<String, List<String>> parameters, String name, long absent, long most) {
         String text = parameters.getOrDefault(name, List.of(Long.toString(absent))).get(0);
         if (!text.matches("\\d{1,15}") || Long.parseLong(text) > most) {
             throw new BadRequest("'" + name + "' takes a whole number up to " + most);
@@ -169,14 +189,19 @@
     private CompletableFuture<Answer> command(JsonNode body) {
         String client = text(body, "client");
         JsonNode seq = body.get("seq");
-        if (client.length() > 100 || seq == null || !seq.isIntegralNumber() || seq.longValue() < 1) {
-            throw new BadRequest("'client' takes a text of up to 100 characters, 'seq' a number from 1 on");
+        if (client.length() > 100
+                || seq == null
+                || !seq.isIntegralNumber()
+                || seq.longValue() < 1) {
+            throw new BadRequest(
+                    "'client' takes a text of up to 100 characters, 'seq' a number from 1 on");
         }
         Command command;
         try {
             command = Codec.command(body.path("command"));
         } catch (JsonProcessingException bad) {
-            throw new BadRequest("'command': " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
+            throw new BadRequest(
+                    "'command': " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
         }
         if (command == null || command.getClass().getName().contains("GroupCommands")) {
             throw new BadRequest("'command' takes a command for clients");
@@ -184,8 +209,15 @@
         long waitMs = Math.min(MOST_WAIT_MS, body.path("waitMs").asLong(0));
         CompletableFuture<Reply> reply = replica.propose(client, seq.longValue(), command);
         if (command instanceof LeaseCommands.Acquire ask && waitMs > 0) {
-            reply = reply.thenCompose(first -> first instanceof LeaseReplies.Held held && held.queued()
-                ? untilItsTurn(ask, held, System.nanoTime() + waitMs * 1_000_000) : done(first));
+            reply =
+                    reply.thenCompose(
+                            first ->
+                                    first instanceof LeaseReplies.Held held && held.queued()
+                                            ? untilItsTurn(
+                                                    ask,
+                                                    held,
+                                                    System.nanoTime() + waitMs * 1_000_000)
+                                            : done(first));
         }
         return reply.thenApply(said -> new Answer(200, said));
     }
@@ -195,14 +227,26 @@
     }
 
     /** Holds the answer back until asking again may bring another one, or the wait is over. */
-    private CompletableFuture<Reply> untilItsTurn(LeaseCommands.Acquire ask, Reply held, long until) {
-        return nextChange(until).thenCompose(changed -> {
-            if (!changed) {
-                return done(held);
-            }
-            return replica.read(state -> mayBeGranted(state.leases().find(ask.name()), ask.owner()), true)
-                .thenCompose(now -> now ? done(held) : untilItsTurn(ask, held, until));
-        });
+    private CompletableFuture<Reply> untilItsTurn(
+            LeaseCommands.Acquire ask, Reply held, long until) {
+        return nextChange(until)
+                .thenCompose(
+                        changed -> {
+                            if (!changed) {
+                                return done(held);
+                            }
+                            return replica.read(
+                                            state ->
+                                                    mayBeGranted(
+                                                            state.leases().find(ask.name()),
+                                                            ask.owner()),
+                                            true)
+                                    .thenCompose(
+                                            now ->
+                                                    now
+                                                            ? done(held)
+                                                            : untilItsTurn(ask, held, until));
+                        });
     }
 
     private static boolean mayBeGranted(Leases.Row row, String owner) {
@@ -222,29 +266,36 @@
     // ---- reads
 
     /** What was read, and how old it may be. */
-    record Reading(List<Leases.Row> leases, long groupNow, boolean stale) {
-    }
+    record Reading(List<Leases.Row> leases, long groupNow, boolean stale) {}
 
     private CompletableFuture<Answer> leases(Map<String, List<String>> parameters) {
         String prefix = parameters.getOrDefault("prefix", List.of("")).get(0);
         int most = (int) whole(parameters, "limit", 1_000, MOST_ROWS);
         boolean stale = whole(parameters, "stale", 0, 1) == 1;
-        return replica.read(state -> new Reading(state.leases().list(prefix, most), state.time().now(),
-            stale), stale).thenApply(read -> new Answer(200, read));
+        return replica.read(
+                        state ->
+                                new Reading(
+                                        state.leases().list(prefix, most),
+                                        state.time().now(),
+                                        stale),
+                        stale)
+                .thenApply(read -> new Answer(200, read));
     }
 
     /** The windows, what they are planned by, and the group's time of day. */
-    record Plans(FleetPlan plan, List<Window> windows, long day) {
-    }
+    record Plans(FleetPlan plan, List<Window> windows, long day) {}
 
     private CompletableFuture<Answer> levels(Map<String, List<String>> parameters) {
         long from = whole(parameters, "from", 0, MOST_TIME);
         long to = whole(parameters, "to", from, MOST_TIME);
         int most = (int) whole(parameters, "most", 200, MOST_ROWS);
-        return replica.read(state -> {
-            long now = state.time().day();
-            return state.windows().levels(from == 0 ? now : from, to, most, now);
-        }, false).thenApply(read -> new Answer(200, read));
+        return replica.read(
+                        state -> {
+                            long now = state.time().day();
+                            return state.windows().levels(from == 0 ? now : from, to, most, now);
+                        },
+                        false)
+                .thenApply(read -> new Answer(200, read));
     }
 
     private CompletableFuture<Answer> lease(Map<String, List<String>> parameters) {
@@ -255,45 +306,71 @@
     }
 
     private CompletableFuture<Answer> watched(String name, long after, long until) {
-        return replica.read(state -> {
-            Leases.Row row = state.leases().find(name);
-            return new Reading(row == null ? List.of() : List.of(row), state.time().now(), false);
-        }, false).thenCompose(read -> {
-            long revision = read.leases().isEmpty() ? 0 : read.leases().get(0).revision();
-            return revision != after ? done(new Answer(200, read)) : nextChange(until).thenCompose(changed ->
-                changed ? watched(name, after, until) : done(new Answer(200, read)));
-        });
+        return replica.read(
+                        state -> {
+                            Leases.Row row = state.leases().find(name);
+                            return new Reading(
+                                    row == null ? List.of() : List.of(row),
+                                    state.time().now(),
+                                    false);
+                        },
+                        false)
+                .thenCompose(
+                        read -> {
+                            long revision =
+                                    read.leases().isEmpty() ? 0 : read.leases().get(0).revision();
+                            return revision != after
+                                    ? done(new Answer(200, read))
+                                    : nextChange(until)
+                                            .thenCompose(
+                                                    changed ->
+                                                            changed
+                                                                    ? watched(name, after, until)
+                                                                    : done(new Answer(200, read)));
+                        });
     }
 
     /** All that an advisor goes by, and what was said. */
-    record Advising(AdviceBook.Image book, List<Board.View> views, List<Advisor.Made> made,
-            Set<String> avoid) {
-    }
+    record Advising(
+            AdviceBook.Image book,
+            List<Board.View> views,
+            List<Advisor.Made> made,
+            Set<String> avoid) {}
 
     private CompletableFuture<Answer> advice() {
-        return replica.read(state -> {
-            synchronized (board) {
-                return new Advising(state.advice().image(), board.views(System.nanoTime() / 1_000_000),
-                    state.advice().made(state.time().now()),
-                    state.windows().avoided(state.time().day(), AHEAD_MS));
-            }
-        }, false).thenApply(read -> new Answer(200, read));
+        return replica.read(
+                        state -> {
+                            synchronized (board) {
+                                return new Advising(
+                                        state.advice().image(),
+                                        board.views(System.nanoTime() / 1_000_000),
+                                        state.advice().made(state.time().now()),
+                                        state.windows().avoided(state.time().day(), AHEAD_MS));
+                            }
+                        },
+                        false)
+                .thenApply(read -> new Answer(200, read));
     }
 
-    /** Snapshots are kept by who leads, and by nobody else: whoever comes to lead begins with none. */
+    /**
+     * Snapshots are kept by who leads, and by nobody else: whoever comes to lead begins with none.
+     */
     private CompletableFuture<Answer> snapshot(JsonNode body) {
         NodeSnapshot snapshot;
         try {
             snapshot = Codec.json().treeToValue(body, NodeSnapshot.class);
         } catch (JsonProcessingException bad) {
-            throw new BadRequest("no snapshot: " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
+            throw new BadRequest(
+                    "no snapshot: " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
         }
         if (snapshot.fault() != null) {
             throw new BadRequest(snapshot.fault());
         }
         if (!replica.leads()) {
-            return CompletableFuture.completedFuture(new Answer(421,
-                new Fault("another replica leads", BUSY_MS, replica.leaderClients())));
+            return CompletableFuture.completedFuture(
+                    new Answer(
+                            421,
+                            new Fault("another replica leads", BUSY_MS, replica.leaderClients())));
         }
         synchronized (board) {
             boolean taken = board.take(snapshot, System.nanoTime() / 1_000_000);
@@ -302,7 +379,11 @@
     }
 
     private CompletableFuture<Answer> join(JsonNode body) {
-        return replica.join(text(body, "name"), text(body, "disk"), text(body, "peers"),
-            text(body, "clients")).thenApply(state -> new Answer(200, Map.of("state", state)));
+        return replica.join(
+                        text(body, "name"),
+                        text(body, "disk"),
+                        text(body, "peers"),
+                        text(body, "clients"))
+                .thenApply(state -> new Answer(200, Map.of("state", state)));
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/front/HttpListener.java
+++ b/coordinator/src/main/java/saltstage/coordinator/front/HttpListener.java
@@ -31,36 +31,52 @@
 import saltstage.coordinator.group.Codec;
 import saltstage.log.Log;
 
-/** The front on HTTP/1.1: Netty's codec, bounded in connections, in bytes a request and in silence. */
+/**
+ * The front on HTTP/1.1: Netty's codec, bounded in connections, in bytes a request and in silence.
+ */
 public final class HttpListener implements AutoCloseable {
     private static final int MOST_CONNECTIONS = 4_000;
+
     /** A renewal of thousands of leases is the largest call there is. */
     private static final int MOST_BODY = 1 << 20;
+
     private static final int SILENCE_S = 60;
 
     private final NioEventLoopGroup group =
-        new NioEventLoopGroup(1, new DefaultThreadFactory("front", true));
+            new NioEventLoopGroup(1, new DefaultThreadFactory("front", true));
     private final Channel channel;
     private final AtomicInteger connections = new AtomicInteger();
 
     /** Listens. */
     public HttpListener(InetSocketAddress at, Front front) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 512).option(ChannelOption.SO_REUSEADDR, true)
-            .childHandler(new ChannelInitializer<SocketChannel>() {
-                @Override
-                protected void initChannel(SocketChannel child) {
-                    if (connections.incrementAndGet() > MOST_CONNECTIONS) {
-                        connections.decrementAndGet();
-                        child.close();
-                        return;
-                    }
-                    child.closeFuture().addListener(over -> connections.decrementAndGet());
-                    child.config().setTcpNoDelay(true);
-                    child.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpServerCodec(),
-                        new HttpObjectAggregator(MOST_BODY), new Calls(front));
-                }
-            }).bind(at).awaitUninterruptibly();
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, 512)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel child) {
+                                        if (connections.incrementAndGet() > MOST_CONNECTIONS) {
+                                            connections.decrementAndGet();
+                                            child.close();
+                                            return;
+                                        }
+                                        child.closeFuture()
+                                                .addListener(over -> connections.decrementAndGet());
+                                        child.config().setTcpNoDelay(true);
+                                        child.pipeline()
+                                                .addLast(
+                                                        new ReadTimeoutHandler(SILENCE_S),
+                                                        new HttpServerCodec(),
+                                                        new HttpObjectAggregator(MOST_BODY),
+                                                        new Calls(front));
+                                    }
+                                })
+                        .bind(at)
+                        .awaitUninterruptibly();
         if (!bound.isSuccess()) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
@@ -86,8 +102,10 @@
             }
             busy = true;
             on.channel().config().setAutoRead(false);
-            front.ask(request).whenComplete((answer, never) ->
-                on.executor().execute(() -> write(on, answer, keep)));
+            front.ask(request)
+                    .whenComplete(
+                            (answer, never) ->
+                                    on.executor().execute(() -> write(on, answer, keep)));
         }
 
         private void write(ChannelHandlerContext on, Front.Answer answer, boolean keep) {
@@ -101,10 +119,16 @@
                 on.close();
                 return;
             }
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(body));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, raw ? "application/cbor"
-                : "application/json").setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(answer.status()),
+                            Unpooled.wrappedBuffer(body));
+            response.headers()
+                    .set(
+                            HttpHeaderNames.CONTENT_TYPE,
+                            raw ? "application/cbor" : "application/json")
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
             HttpUtil.setKeepAlive(response, keep);
             ChannelFuture written = on.writeAndFlush(response);
             if (!keep) {
--- a/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -1,7 +1,7 @@
 package saltstage.coordinator.group;
 
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -27,8 +27,8 @@
 import saltstage.coordinator.window.WindowReplies;
 
 /**
- * Commands, replies and snapshots as bytes: CBOR in the log, JSON towards clients, with the same names. A
- * command or field that this build does not know is refused, never skipped.
+ * Commands, replies and snapshots as bytes: CBOR in the log, JSON towards clients, with the same
+ * names. A command or field that this build does not know is refused, never skipped.
  */
 public final class Codec {
     /** The form of entries and snapshots; another one is refused. */
@@ -65,36 +65,42 @@
     }
 
     /** Written before each entry and snapshot. */
-    private record Entry(int format, Proposal proposal) {
-    }
+    private record Entry(int format, Proposal proposal) {}
 
-    private record Kept(int format, GroupState.Image image) {
-    }
+    private record Kept(int format, GroupState.Image image) {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "op")
-    private interface Named {
-    }
+    private interface Named {}
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "result")
-    private interface Resulting {
-    }
-
-    private static final ObjectMapper STRICT = prepared(JsonMapper.builder()
-        .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-        .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
-        .withConfigOverride(List.class, c -> c.setSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL)))
-        .withConfigOverride(Map.class, c -> c.setSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL))));
+    private interface Resulting {}
+
+    private static final ObjectMapper STRICT =
+            prepared(
+                    JsonMapper.builder()
+                            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+                            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                            .withConfigOverride(
+                                    List.class,
+                                    c ->
+                                            c.setSetterInfo(
+                                                    JsonSetter.Value.forContentNulls(Nulls.FAIL)))
+                            .withConfigOverride(
+                                    Map.class,
+                                    c ->
+                                            c.setSetterInfo(
+                                                    JsonSetter.Value.forContentNulls(Nulls.FAIL))));
     private static final ObjectMapper CBOR = prepared(CBORMapper.builder());
     private static final ObjectMapper JSON = prepared(JsonMapper.builder());
 
-    private Codec() {
-    }
+    private Codec() {}
 
     private static ObjectMapper prepared(MapperBuilder<?, ?> builder) {
-        builder.addMixIn(Command.class, Named.class).addMixIn(Reply.class, Resulting.class)
-            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+        builder.addMixIn(Command.class, Named.class)
+                .addMixIn(Reply.class, Resulting.class)
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
         COMMANDS.forEach((name, type) -> builder.registerSubtypes(new NamedType(type, name)));
         REPLIES.forEach((name, type) -> builder.registerSubtypes(new NamedType(type, name)));
         return builder.build();
@@ -124,7 +130,8 @@
     public static Proposal proposal(byte[] entry) throws IOException {
         Entry read = CBOR.readValue(entry, Entry.class);
         if (read.format() != FORMAT) {
-            throw new IOException("entry of format " + read.format() + "; this build reads " + FORMAT);
+            throw new IOException(
+                    "entry of format " + read.format() + "; this build reads " + FORMAT);
         }
         return read.proposal();
     }
@@ -138,7 +145,8 @@
     public static GroupState.Image image(byte[] snapshot) throws IOException {
         Kept read = CBOR.readValue(snapshot, Kept.class);
         if (read.format() != FORMAT) {
-            throw new IOException("snapshot of format " + read.format() + "; this build reads " + FORMAT);
+            throw new IOException(
+                    "snapshot of format " + read.format() + "; this build reads " + FORMAT);
         }
         return read.image();
     }
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupCommands.java
@@ -6,8 +6,7 @@
 
 /** What the group says to itself. */
 public final class GroupCommands {
-    private GroupCommands() {
-    }
+    private GroupCommands() {}
 
     /**
      * Time goes on; from the leader, about itself and what its peers told it.
@@ -25,10 +24,11 @@
     }
 
     /**
-     * This member runs on this disk, and is reached there; another disk under its name is refused from
-     * now on.
+     * This member runs on this disk, and is reached there; another disk under its name is refused
+     * from now on.
      */
-    public record Introduce(String member, String disk, String peers, String clients) implements Command {
+    public record Introduce(String member, String disk, String peers, String clients)
+            implements Command {
         @Override
         public int since() {
             return 1;
@@ -43,7 +43,9 @@
         }
     }
 
-    /** Fences up to this one were given out by a group that this one was restored from a copy of. */
+    /**
+     * Fences up to this one were given out by a group that this one was restored from a copy of.
+     */
     public record SkipFences(long upTo) implements Command {
         @Override
         public int since() {
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -17,8 +17,9 @@
 import saltstage.coordinator.window.Windows;
 
 /**
- * All that a group keeps, and the one place where a command becomes a change of it. The same log gives the
- * same state at every replica: nothing here reads a clock, draws a number or does I/O. One thread at a time.
+ * All that a group keeps, and the one place where a command becomes a change of it. The same log
+ * gives the same state at every replica: nothing here reads a clock, draws a number or does I/O.
+ * One thread at a time.
  */
 public final class GroupState {
     /** The highest feature level that this build knows. */
@@ -28,14 +29,18 @@
     public static final String RETIRED = "retired";
 
     /** Where a member is, and the disk that its log is on. */
-    public record MemberRow(String disk, String peers, String clients, int speaks) {
-    }
+    public record MemberRow(String disk, String peers, String clients, int speaks) {}
 
     /** What a snapshot keeps; what is null is not written. */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    public record Image(int level, GroupTime.Image time, List<Sessions.Row> sessions, Leases.Image leases,
-            Map<String, MemberRow> members, Windows.Image windows, AdviceBook.Image advice) {
-    }
+    public record Image(
+            int level,
+            GroupTime.Image time,
+            List<Sessions.Row> sessions,
+            Leases.Image leases,
+            Map<String, MemberRow> members,
+            Windows.Image windows,
+            AdviceBook.Image advice) {}
 
     private int level;
     private final GroupTime time;
@@ -47,8 +52,15 @@
 
     /** A new group. */
     public GroupState() {
-        this(new Image(1, GroupTime.zero().image(), List.of(), new Leases().image(), Map.of(),
-            new Windows().image(), new AdviceBook().image()));
+        this(
+                new Image(
+                        1,
+                        GroupTime.zero().image(),
+                        List.of(),
+                        new Leases().image(),
+                        Map.of(),
+                        new Windows().image(),
+                        new AdviceBook().image()));
     }
 
     /** As a snapshot has it. */
@@ -64,10 +76,16 @@
 
     /** What a snapshot keeps; equal states give equal images. */
     public Image image() {
-        // A group that still works at level 1 has replicas that know no windows, and take no field more.
-        return new Image(level, time.image(), sessions.image(), leases.image(),
-            new TreeMap<>(members), level < WindowCommands.SINCE ? null : windows.image(),
-            level < AdviceCommands.SINCE ? null : advice.image());
+        // A group that still works at level 1 has replicas that know no windows, and take no field
+        // more.
+        return new Image(
+                level,
+                time.image(),
+                sessions.image(),
+                leases.image(),
+                new TreeMap<>(members),
+                level < WindowCommands.SINCE ? null : windows.image(),
+                level < AdviceCommands.SINCE ? null : advice.image());
     }
 
     /** Carries one entry of the log out. */
@@ -86,9 +104,15 @@
         Reply reply;
         try {
             reply = carryOut(entry.command());
-        } catch (RuntimeException fault) { // the same at every replica; one bad command must not end them all
-            reply = new Refused("fault", "the command could not be carried out: "
-                + fault.getClass().getSimpleName(), 0);
+        } catch (
+                RuntimeException
+                        fault) { // the same at every replica; one bad command must not end them all
+            reply =
+                    new Refused(
+                            "fault",
+                            "the command could not be carried out: "
+                                    + fault.getClass().getSimpleName(),
+                            0);
         }
         sessions.keep(entry.client(), entry.seq(), reply, time.now());
         return reply;
@@ -96,8 +120,14 @@
 
     private Reply carryOut(Command command) {
         if (command.since() > level) {
-            return new Refused("not-yet", "the group works at level " + level + "; this takes level "
-                + command.since() + ", which not every voter knows yet", 0);
+            return new Refused(
+                    "not-yet",
+                    "the group works at level "
+                            + level
+                            + "; this takes level "
+                            + command.since()
+                            + ", which not every voter knows yet",
+                    0);
         }
         if (command instanceof LeaseCommands.Acquire ask) {
             return leases.acquire(ask, time.now());
@@ -110,8 +140,8 @@
         }
         if (command instanceof AdviceCommands.Advise ask) {
             return leases.holds(AdviceCommands.LEASE, ask.owner(), ask.fence(), time.now())
-                ? advice.advise(ask, time.now())
-                : new Refused("fenced", "the advisor's lease is not held so", 0);
+                    ? advice.advise(ask, time.now())
+                    : new Refused("fenced", "the advisor's lease is not held so", 0);
         }
         if (command instanceof AdviceCommands.Decide ask) {
             return advice.decide(ask, time.now());
@@ -155,8 +185,12 @@
 
     /** Only the agent that holds a region's lease now speaks for it. */
     private Refused fenced(String region, String owner, long fence) {
-        return leases.holds(WindowCommands.lease(region), owner, fence, time.now()) ? null
-            : new Refused("fenced", "the lease " + WindowCommands.lease(region) + " is not held so", 0);
+        return leases.holds(WindowCommands.lease(region), owner, fence, time.now())
+                ? null
+                : new Refused(
+                        "fenced",
+                        "the lease " + WindowCommands.lease(region) + " is not held so",
+                        0);
     }
 
     private Reply ownBusiness(Command command) {
@@ -178,8 +212,17 @@
 
     private Done tick(GroupCommands.Tick tick) {
         time.walls(tick.walls(), tick.voters());
-        tick.speaks().forEach((name, speaks) -> members.computeIfPresent(name, (any, row) ->
-            new MemberRow(row.disk(), row.peers(), row.clients(), speaks)));
+        tick.speaks()
+                .forEach(
+                        (name, speaks) ->
+                                members.computeIfPresent(
+                                        name,
+                                        (any, row) ->
+                                                new MemberRow(
+                                                        row.disk(),
+                                                        row.peers(),
+                                                        row.clients(),
+                                                        speaks)));
         raise(tick.voters());
         return new Done("ticked");
     }
@@ -195,7 +238,8 @@
     }
 
     private Done forget(GroupCommands.Forget who) {
-        if (level >= 2) { // the engine takes no name twice; before level 2 replicas did not know that
+        if (level
+                >= 2) { // the engine takes no name twice; before level 2 replicas did not know that
             members.put(who.member(), new MemberRow(RETIRED, null, null, 0));
         } else {
             members.remove(who.member());
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupTime.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupTime.java
@@ -5,17 +5,16 @@
 import java.util.TreeMap;
 
 /**
- * The group's two clocks, told by the log alone. Group time never runs faster than a leader's monotonic
- * clock: between two stamps of one leadership it grows by their difference, and from one leadership to the
- * next, or over a standstill of the whole group, not at all. So what was promised until a group time is
- * never taken back early; it may hold longer. The time of day is group time and the median of what the
- * voters' clocks add to it: a minority of clocks that are off by any amount changes nothing. It stands
- * still rather than go back.
+ * The group's two clocks, told by the log alone. Group time never runs faster than a leader's
+ * monotonic clock: between two stamps of one leadership it grows by their difference, and from one
+ * leadership to the next, or over a standstill of the whole group, not at all. So what was promised
+ * until a group time is never taken back early; it may hold longer. The time of day is group time
+ * and the median of what the voters' clocks add to it: a minority of clocks that are off by any
+ * amount changes nothing. It stands still rather than go back.
  */
 public final class GroupTime {
     /** What a snapshot keeps. */
-    public record Image(long now, String epoch, long stamp, Map<String, Long> offsets, long day) {
-    }
+    public record Image(long now, String epoch, long stamp, Map<String, Long> offsets, long day) {}
 
     private long now;
     private String epoch;
@@ -52,7 +51,10 @@
         }
     }
 
-    /** What the clocks of replicas say; only voters count, and those that are none any more are forgotten. */
+    /**
+     * What the clocks of replicas say; only voters count, and those that are none any more are
+     * forgotten.
+     */
     void walls(Map<String, Long> told, Collection<String> voters) {
         told.forEach((member, wall) -> offsets.put(member, wall - now));
         if (!voters.isEmpty()) {
--- a/coordinator/src/main/java/saltstage/coordinator/group/Sessions.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Sessions.java
@@ -8,18 +8,21 @@
 import saltstage.coordinator.model.Reply;
 
 /**
- * What each client has asked last, and what came of it: a command that is sent again because its answer was
- * lost gets that answer, and is not carried out a second time. Oldest first, so that the same are forgotten
- * at every replica.
+ * What each client has asked last, and what came of it: a command that is sent again because its
+ * answer was lost gets that answer, and is not carried out a second time. Oldest first, so that the
+ * same are forgotten at every replica.
  */
 final class Sessions {
-    /** A session that has said nothing for so long is forgotten; clients give a command up long before. */
+    /**
+     * A session that has said nothing for so long is forgotten; clients give a command up long
+     * before.
+     */
     static final long IDLE_MS = 600_000;
+
     static final int MOST = 20_000;
 
     /** What a snapshot keeps of one. */
-    record Row(String client, long seq, long seen, Reply reply) {
-    }
+    record Row(String client, long seq, long seen, Reply reply) {}
 
     private final LinkedHashMap<String, Row> rows = new LinkedHashMap<>();
 
@@ -35,21 +38,27 @@
     Reply known(String client, long seq) {
         Row row = rows.get(client);
         if (row == null) {
-            return seq == 1 ? null : new Refused("session-lost",
-                "the group does not know this session any more;"
-                    + " what became of its last command is open", 0);
+            return seq == 1
+                    ? null
+                    : new Refused(
+                            "session-lost",
+                            "the group does not know this session any more;"
+                                    + " what became of its last command is open",
+                            0);
         }
         if (seq == row.seq()) {
             return row.reply();
         }
-        return seq > row.seq() ? null
-            : new Refused("stale", "number " + seq + " after " + row.seq() + " in this session", 0);
+        return seq > row.seq()
+                ? null
+                : new Refused(
+                        "stale", "number " + seq + " after " + row.seq() + " in this session", 0);
     }
 
     void keep(String client, long seq, Reply reply, long now) {
         rows.remove(client);
         rows.put(client, new Row(client, seq, now, reply));
-        for (var oldest = rows.values().iterator(); oldest.hasNext();) {
+        for (var oldest = rows.values().iterator(); oldest.hasNext(); ) {
             Row row = oldest.next();
             if (rows.size() <= MOST && row.seen() + IDLE_MS > now) {
                 break;
--- a/coordinator/src/main/java/saltstage/coordinator/lease/LeaseCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/lease/LeaseCommands.java
@@ -5,13 +5,13 @@
 
 /** What can be asked of leases. Spans are in milliseconds. */
 public final class LeaseCommands {
-    private LeaseCommands() {
-    }
+    private LeaseCommands() {}
 
     /**
-     * Wants a lease. Who waits keeps its place in the queue by asking again within {@link Leases#WAITER_MS};
-     * a lease that comes free is kept for the first of the queue until it asks, so that a grant is always the
-     * answer to a question that its holder has just put: its time counts from when that was sent.
+     * Wants a lease. Who waits keeps its place in the queue by asking again within {@link
+     * Leases#WAITER_MS}; a lease that comes free is kept for the first of the queue until it asks,
+     * so that a grant is always the answer to a question that its holder has just put: its time
+     * counts from when that was sent.
      *
      * @param priority the higher goes first; among equals, who came first
      * @param queue whether to wait where it is held
--- a/coordinator/src/main/java/saltstage/coordinator/lease/Leases.java
+++ b/coordinator/src/main/java/saltstage/coordinator/lease/Leases.java
@@ -17,40 +17,51 @@
 import saltstage.coordinator.model.Reply;
 
 /**
- * All leases of a group, in group time (milliseconds that only grow). Free of I/O, threads and clocks: each
- * call says what time it is. Every grant has a fence higher than any before it, whatever lease it is of.
+ * All leases of a group, in group time (milliseconds that only grow). Free of I/O, threads and
+ * clocks: each call says what time it is. Every grant has a fence higher than any before it,
+ * whatever lease it is of.
  */
 public final class Leases {
     /** A waiter that has not asked again for so long has left. */
     public static final long WAITER_MS = 3_000;
+
     /**
-     * A lease that came free is kept for the first that waits for so long; then it is the next one's
-     * turn.
+     * A lease that came free is kept for the first that waits for so long; then it is the next
+     * one's turn.
      */
     public static final long CLAIM_MS = 1_500;
+
     /** The shortest span of a lease: below it, one slow disk write costs it. */
     public static final long LEAST_TTL_MS = 500;
+
     /** The longest span of a lease: a dead holder keeps the others out for so long. */
     public static final long MOST_TTL_MS = 3_600_000;
+
     static final int MOST_LEASES = 200_000;
     static final int MOST_WAITERS = 1_000;
     static final int MOST_NAME = 200;
 
-    /** Who holds a lease, under which fence, until when, and who waits; what a snapshot keeps of it. */
-    public record Row(String name, String owner, long fence, long ttlMs, long expires, long revision,
-            List<Waiter> waiters, String claimant, long claimUntil) {
-    }
+    /**
+     * Who holds a lease, under which fence, until when, and who waits; what a snapshot keeps of it.
+     */
+    public record Row(
+            String name,
+            String owner,
+            long fence,
+            long ttlMs,
+            long expires,
+            long revision,
+            List<Waiter> waiters,
+            String claimant,
+            long claimUntil) {}
 
     /** One that waits. */
-    public record Waiter(String owner, int priority, long order, long until) {
-    }
+    public record Waiter(String owner, int priority, long order, long until) {}
 
     /** What a snapshot keeps. */
-    public record Image(long fences, long orders, long revisions, List<Row> rows) {
-    }
+    public record Image(long fences, long orders, long revisions, List<Row> rows) {}
 
-    private record Due(long at, String name) {
-    }
+    private record Due(long at, String name) {}
 
     private static final class Lease {
         private String owner;
@@ -60,8 +71,10 @@
         private long revision;
         private String claimant;
         private long claimUntil;
-        private final TreeSet<Waiter> waiters = new TreeSet<>(Comparator
-            .comparingInt((Waiter w) -> -w.priority()).thenComparingLong(Waiter::order));
+        private final TreeSet<Waiter> waiters =
+                new TreeSet<>(
+                        Comparator.comparingInt((Waiter w) -> -w.priority())
+                                .thenComparingLong(Waiter::order));
         private Due due;
 
         private Waiter waiter(String who) {
@@ -74,15 +87,14 @@
     }
 
     private final Map<String, Lease> leases = new TreeMap<>();
-    private final TreeSet<Due> dues = new TreeSet<>(Comparator.comparingLong(Due::at)
-        .thenComparing(Due::name));
+    private final TreeSet<Due> dues =
+            new TreeSet<>(Comparator.comparingLong(Due::at).thenComparing(Due::name));
     private long fences;
     private long orders;
     private long revisions;
 
     /** Nobody holds anything. */
-    public Leases() {
-    }
+    public Leases() {}
 
     /** As a snapshot has it. */
     public Leases(Image image) {
@@ -112,11 +124,22 @@
     }
 
     private static Row row(String name, Lease lease) {
-        return new Row(name, lease.owner, lease.fence, lease.ttl, lease.expires, lease.revision,
-            List.copyOf(lease.waiters), lease.claimant, lease.claimUntil);
+        return new Row(
+                name,
+                lease.owner,
+                lease.fence,
+                lease.ttl,
+                lease.expires,
+                lease.revision,
+                List.copyOf(lease.waiters),
+                lease.claimant,
+                lease.claimUntil);
     }
 
-    /** No fence up to this one is given out again: after a restore, grants that the copy knows nothing of. */
+    /**
+     * No fence up to this one is given out again: after a restore, grants that the copy knows
+     * nothing of.
+     */
     public void skipFences(long upTo) {
         fences = Math.max(fences, upTo);
     }
@@ -145,7 +168,8 @@
     /** Those whose names begin so, in order of their names, so many at most. */
     public List<Row> list(String prefix, int most) {
         List<Row> rows = new ArrayList<>();
-        for (Map.Entry<String, Lease> entry : ((TreeMap<String, Lease>) leases).tailMap(prefix).entrySet()) {
+        for (Map.Entry<String, Lease> entry :
+                ((TreeMap<String, Lease>) leases).tailMap(prefix).entrySet()) {
             if (!entry.getKey().startsWith(prefix) || rows.size() == most) {
                 break;
             }
@@ -157,7 +181,10 @@
     /** Whether this owner holds this lease under this fence now. */
     public boolean holds(String name, String owner, long fence, long now) {
         Lease lease = leases.get(name);
-        return lease != null && owner.equals(lease.owner) && lease.fence == fence && now < lease.expires;
+        return lease != null
+                && owner.equals(lease.owner)
+                && lease.fence == fence
+                && now < lease.expires;
     }
 
     // ---- time
@@ -172,7 +199,8 @@
                 free(lease);
             }
             lease.waiters.removeIf(w -> w.until() <= now);
-            if (lease.claimant != null && lease.claimUntil <= now) { // it had its turn and did not come
+            if (lease.claimant != null
+                    && lease.claimUntil <= now) { // it had its turn and did not come
                 lease.waiters.removeIf(w -> w.owner().equals(lease.claimant));
                 lease.claimant = null;
             }
@@ -197,7 +225,10 @@
         }
     }
 
-    /** Plans the next moment at which time changes this lease, and forgets one that is nothing any more. */
+    /**
+     * Plans the next moment at which time changes this lease, and forgets one that is nothing any
+     * more.
+     */
     private void plan(String name, Lease lease) {
         if (lease.due != null) {
             dues.remove(lease.due);
@@ -229,16 +260,21 @@
         if (lease.owner != null && lease.owner.equals(ask.owner())) {
             return grant(ask, lease, now, lease.fence);
         }
-        boolean first = lease.owner == null
-            && (lease.claimant == null ? lease.waiters.isEmpty() : lease.claimant.equals(ask.owner()));
+        boolean first =
+                lease.owner == null
+                        && (lease.claimant == null
+                                ? lease.waiters.isEmpty()
+                                : lease.claimant.equals(ask.owner()));
         if (first) {
             return grant(ask, lease, now, ++fences);
         }
         Waiter before = lease.waiter(ask.owner());
         if (ask.queue() && before == null && lease.waiters.size() >= MOST_WAITERS) {
             plan(ask.name(), lease);
-            return new Refused("queue-full", "so many wait for " + ask.name() + " already: " + MOST_WAITERS,
-                Math.max(1, lease.expires - now));
+            return new Refused(
+                    "queue-full",
+                    "so many wait for " + ask.name() + " already: " + MOST_WAITERS,
+                    Math.max(1, lease.expires - now));
         }
         requeue(ask, lease, before, now);
         offer(lease, now);
@@ -256,22 +292,32 @@
         }
         if (ask.queue()) {
             boolean kept = before != null && before.priority() == ask.priority();
-            lease.waiters.add(new Waiter(ask.owner(), ask.priority(), kept ? before.order() : ++orders,
-                now + WAITER_MS));
+            lease.waiters.add(
+                    new Waiter(
+                            ask.owner(),
+                            ask.priority(),
+                            kept ? before.order() : ++orders,
+                            now + WAITER_MS));
         }
     }
 
     private static Refused checked(Acquire ask) {
-        if (ask.name() == null || ask.name().isEmpty() || ask.name().length() > MOST_NAME
-            || ask.name().chars().anyMatch(c -> c <= ' ' || c > '~')) {
-            return new Refused("bad-name", "a lease's name has 1 to " + MOST_NAME
-                + " visible ASCII characters", 0);
+        if (ask.name() == null
+                || ask.name().isEmpty()
+                || ask.name().length() > MOST_NAME
+                || ask.name().chars().anyMatch(c -> c <= ' ' || c > '~')) {
+            return new Refused(
+                    "bad-name",
+                    "a lease's name has 1 to " + MOST_NAME + " visible ASCII characters",
+                    0);
         }
         if (ask.owner() == null || ask.owner().isEmpty() || ask.owner().length() > MOST_NAME) {
-            return new Refused("bad-owner", "an owner's name has 1 to " + MOST_NAME + " characters", 0);
+            return new Refused(
+                    "bad-owner", "an owner's name has 1 to " + MOST_NAME + " characters", 0);
         }
         if (ask.ttlMs() < LEAST_TTL_MS || ask.ttlMs() > MOST_TTL_MS) {
-            return new Refused("bad-ttl", "a lease lasts " + LEAST_TTL_MS + " to " + MOST_TTL_MS + " ms", 0);
+            return new Refused(
+                    "bad-ttl", "a lease lasts " + LEAST_TTL_MS + " to " + MOST_TTL_MS + " ms", 0);
         }
         return null;
     }
@@ -300,7 +346,8 @@
         int ahead = mine == null ? lease.waiters.size() : lease.waiters.headSet(mine).size();
         String holder = lease.owner != null ? lease.owner : lease.claimant;
         long until = lease.owner != null ? lease.expires : lease.claimUntil;
-        return new Held(ask.name(), holder, lease.fence, Math.max(0, until - now), mine != null, ahead);
+        return new Held(
+                ask.name(), holder, lease.fence, Math.max(0, until - now), mine != null, ahead);
     }
 
     /** Holds some for their span again. */
--- a/coordinator/src/main/java/saltstage/coordinator/model/Done.java
+++ b/coordinator/src/main/java/saltstage/coordinator/model/Done.java
@@ -1,5 +1,4 @@
 package saltstage.coordinator.model;
 
 /** It was done, and there is nothing more to say than this word. */
-public record Done(String what) implements Reply {
-}
+public record Done(String what) implements Reply {}
--- a/coordinator/src/main/java/saltstage/coordinator/replica/LogStore.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/LogStore.java
@@ -22,9 +22,10 @@
 import saltstage.store.Store;
 
 /**
- * What a replica must not forget, in the embedded store: its name, term and vote, the log and the last
- * snapshot. Changes gather until {@link #flush}, which returns once they are durable, all together; what
- * needs to be durable at once takes the rest with it. Used on the engine's thread only.
+ * What a replica must not forget, in the embedded store: its name, term and vote, the log and the
+ * last snapshot. Changes gather until {@link #flush}, which returns once they are durable, all
+ * together; what needs to be durable at once takes the rest with it. Used on the engine's thread
+ * only.
  */
 final class LogStore implements RaftStore {
     private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
@@ -33,6 +34,7 @@
     private static final byte[] TERM = text("m/term");
     private static final byte[] LOG = text("l/");
     private static final byte[] SNAPSHOT = text("s/");
+
     /** Below what a batch may hold, by a wide margin. */
     private static final int MOST_GATHERED = 8 << 20;
 
@@ -77,8 +79,11 @@
     }
 
     private static byte[] key(long snapshot, int chunk) {
-        return ByteBuffer.allocate(SNAPSHOT.length + 12).put(SNAPSHOT).putLong(snapshot).putInt(chunk)
-            .array();
+        return ByteBuffer.allocate(SNAPSHOT.length + 12)
+                .put(SNAPSHOT)
+                .putLong(snapshot)
+                .putInt(chunk)
+                .array();
     }
 
     private static long index(byte[] key) {
@@ -95,7 +100,11 @@
 
     @Override
     public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState self) throws IOException {
-        put(SELF, Codec.bytes(new RaftCodec.Self((String) self.getLocalEndpoint().getId(), self.isVoting())));
+        put(
+                SELF,
+                Codec.bytes(
+                        new RaftCodec.Self(
+                                (String) self.getLocalEndpoint().getId(), self.isVoting())));
         flush();
     }
 
@@ -107,8 +116,14 @@
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
-        put(TERM, Codec.bytes(new RaftCodec.Term(term.getTerm(),
-            term.getVotedFor() == null ? null : (String) term.getVotedFor().getId())));
+        put(
+                TERM,
+                Codec.bytes(
+                        new RaftCodec.Term(
+                                term.getTerm(),
+                                term.getVotedFor() == null
+                                        ? null
+                                        : (String) term.getVotedFor().getId())));
         flush();
     }
 
@@ -123,7 +138,9 @@
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
-        put(key(chunk.getIndex(), chunk.getSnapshotChunkIndex()), Codec.bytes(RaftCodec.chunk(chunk)));
+        put(
+                key(chunk.getIndex(), chunk.getSnapshotChunkIndex()),
+                Codec.bytes(RaftCodec.chunk(chunk)));
     }
 
     @Override
@@ -176,17 +193,24 @@
         }
         RaftCodec.Self me = Codec.cbor().readValue(self, RaftCodec.Self.class);
         byte[] kept = store.get(TERM);
-        RaftCodec.Term term = kept == null ? new RaftCodec.Term(0, null)
-            : Codec.cbor().readValue(kept, RaftCodec.Term.class);
+        RaftCodec.Term term =
+                kept == null
+                        ? new RaftCodec.Term(0, null)
+                        : Codec.cbor().readValue(kept, RaftCodec.Term.class);
         SnapshotEntry snapshot = snapshot();
         long from = snapshot == null ? 1 : snapshot.getIndex() + 1;
         return new RestoredRaftState(
-            MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Member(me.member()))
-                .setVoting(me.voting()).build(),
-            RaftCodec.view(Codec.cbor().readValue(first, RaftCodec.Members.class)),
-            MODEL.createRaftTermPersistentStateBuilder().setTerm(term.term())
-                .setVotedFor(term.votedFor() == null ? null : new Member(term.votedFor())).build(),
-            snapshot, entries(from));
+                MODEL.createRaftEndpointPersistentStateBuilder()
+                        .setLocalEndpoint(new Member(me.member()))
+                        .setVoting(me.voting())
+                        .build(),
+                RaftCodec.view(Codec.cbor().readValue(first, RaftCodec.Members.class)),
+                MODEL.createRaftTermPersistentStateBuilder()
+                        .setTerm(term.term())
+                        .setVotedFor(term.votedFor() == null ? null : new Member(term.votedFor()))
+                        .build(),
+                snapshot,
+                entries(from));
     }
 
     private List<LogEntry> entries(long from) throws IOException {
@@ -225,8 +249,12 @@
             return null;
         }
         SnapshotChunk any = whole.get(0);
-        return MODEL.createSnapshotEntryBuilder().setIndex(any.getIndex()).setTerm(any.getTerm())
-            .setSnapshotChunks(whole).setGroupMembersView(any.getGroupMembersView()).build();
+        return MODEL.createSnapshotEntryBuilder()
+                .setIndex(any.getIndex())
+                .setTerm(any.getTerm())
+                .setSnapshotChunks(whole)
+                .setGroupMembersView(any.getGroupMembersView())
+                .build();
     }
 
     /** Whether a log was ever kept here. */
@@ -237,6 +265,8 @@
     /** The names that the group began with; empty where none were kept. */
     Collection<String> first() throws IOException {
         byte[] first = store.get(FIRST);
-        return first == null ? List.of() : Codec.cbor().readValue(first, RaftCodec.Members.class).all();
+        return first == null
+                ? List.of()
+                : Codec.cbor().readValue(first, RaftCodec.Members.class).all();
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Machine.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Machine.java
@@ -12,15 +12,15 @@
 import saltstage.coordinator.model.Reply;
 
 /**
- * The state as the engine drives it, on the engine's thread. An entry that this build cannot read or carry
- * out ends the process: the engine would only fail that one call and go on with a state of its own.
+ * The state as the engine drives it, on the engine's thread. An entry that this build cannot read
+ * or carry out ends the process: the engine would only fail that one call and go on with a state of
+ * its own.
  */
 final class Machine implements StateMachine {
     private static final int CHUNK = 256 << 10;
 
     /** Something to be read from the state; never in the log. */
-    record Question(Function<GroupState, Object> asked) {
-    }
+    record Question(Function<GroupState, Object> asked) {}
 
     private final Replica.Fatal fatal;
     private final Runnable changed;
@@ -47,8 +47,12 @@
         try {
             reply = state.apply(Codec.proposal(entry));
         } catch (IOException | RuntimeException unknown) {
-            fatal.end(78, "entry " + index + " of the log cannot be carried out by this build: "
-                + unknown.getMessage());
+            fatal.end(
+                    78,
+                    "entry "
+                            + index
+                            + " of the log cannot be carried out by this build: "
+                            + unknown.getMessage());
             throw new IllegalStateException(unknown);
         }
         changed.run();
@@ -70,7 +74,12 @@
         try {
             state = new GroupState(Codec.image(all.toByteArray()));
         } catch (IOException | RuntimeException bad) {
-            fatal.end(78, "the snapshot at " + index + " cannot be read by this build: " + bad.getMessage());
+            fatal.end(
+                    78,
+                    "the snapshot at "
+                            + index
+                            + " cannot be read by this build: "
+                            + bad.getMessage());
             throw new IllegalStateException(bad);
         }
         changed.run();
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Member.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Member.java
@@ -3,7 +3,10 @@
 import io.microraft.RaftEndpoint;
 import java.io.Serializable;
 
-/** A replica as the consensus engine names it: by its name alone; where it is reached is known elsewhere. */
+/**
+ * A replica as the consensus engine names it: by its name alone; where it is reached is known
+ * elsewhere.
+ */
 record Member(String id) implements RaftEndpoint, Serializable {
     @Override
     public Object getId() {
--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -19,9 +19,10 @@
 import saltstage.net.Loop;
 
 /**
- * The links among replicas: each keeps one connection to each other, on which it only sends. A connection
- * begins with who is at its end; whoever belongs to another group, or has come with another disk under a
- * known name, is told so and refused. What cannot be sent is dropped: the engine sends it again.
+ * The links among replicas: each keeps one connection to each other, on which it only sends. A
+ * connection begins with who is at its end; whoever belongs to another group, or has come with
+ * another disk under a known name, is told so and refused. What cannot be sent is dropped: the
+ * engine sends it again.
  */
 final class PeerLinks implements Transport {
     private static final Duration CONNECT = Duration.ofSeconds(1);
@@ -29,11 +30,13 @@
     private static final long LEAST_PAUSE_MS = 50;
     private static final long MOST_PAUSE_MS = 800;
     private static final int MOST_FRAME = 16 << 20;
+
     /**
      * Half of a gathered snapshot part and many entries: beyond that a peer is too slow to be fed
      * further.
      */
     private static final long MOST_UNSENT = 24 << 20;
+
     private static final Connection.Bounds BOUNDS = new Connection.Bounds(1 << 20, 64 << 20);
 
     private static final byte HELLO = 1;
@@ -42,13 +45,17 @@
     private static final byte REFUSED = 4;
 
     /** Who is at the end of a link. */
-    record Hello(String group, String from, String disk, String process, int speaks, String peers,
-            String clients) {
-    }
+    record Hello(
+            String group,
+            String from,
+            String disk,
+            String process,
+            int speaks,
+            String peers,
+            String clients) {}
 
     /** What time of day it is there, and what that build knows. */
-    record Beat(long wallMs, int speaks) {
-    }
+    record Beat(long wallMs, int speaks) {}
 
     /** What comes in. */
     interface Events {
@@ -76,7 +83,11 @@
     private saltstage.net.Transport.Listener listener;
     private volatile boolean ended;
 
-    PeerLinks(saltstage.net.Transport transport, RaftCodec codec, Hello self, Events events,
+    PeerLinks(
+            saltstage.net.Transport transport,
+            RaftCodec codec,
+            Hello self,
+            Events events,
             java.util.function.Function<String, InetSocketAddress> addresses,
             java.util.function.Supplier<Beat> beat) {
         this.transport = transport;
@@ -113,11 +124,13 @@
     /** Keeps a link to a peer from now on. */
     void keep(String peer) {
         if (!ended && !peer.equals(self.from())) {
-            links.computeIfAbsent(peer, name -> {
-                Link link = new Link(name);
-                loop.run(link::connect);
-                return link;
-            });
+            links.computeIfAbsent(
+                    peer,
+                    name -> {
+                        Link link = new Link(name);
+                        loop.run(link::connect);
+                        return link;
+                    });
         }
     }
 
@@ -137,12 +150,13 @@
         String name = (String) target.getId();
         keep(name);
         byte[] bytes = codec.bytes(message);
-        loop.run(() -> {
-            Link link = links.get(name);
-            if (link != null) {
-                link.send(RAFT, bytes);
-            }
-        });
+        loop.run(
+                () -> {
+                    Link link = links.get(name);
+                    if (link != null) {
+                        link.send(RAFT, bytes);
+                    }
+                });
     }
 
     @Override
@@ -152,7 +166,11 @@
     }
 
     private static ByteBuffer frame(byte type, byte[] body) {
-        return ByteBuffer.allocate(5 + body.length).putInt(1 + body.length).put(type).put(body).flip();
+        return ByteBuffer.allocate(5 + body.length)
+                .putInt(1 + body.length)
+                .put(type)
+                .put(body)
+                .flip();
     }
 
     /** Reads frames; what is none ends the connection. */
@@ -212,7 +230,10 @@
                     throw new IOException("a peer that does not say who it is");
                 }
                 Hello who = Codec.cbor().readValue(body, Hello.class);
-                if (who == null || who.from() == null || who.disk() == null || who.peers() == null
+                if (who == null
+                        || who.from() == null
+                        || who.disk() == null
+                        || who.peers() == null
                         || who.clients() == null) {
                     throw new IOException("a peer that says half of who it is");
                 }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/RaftCodec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/RaftCodec.java
@@ -26,46 +26,63 @@
 import saltstage.coordinator.group.Codec;
 
 /**
- * The consensus engine's messages and what its log keeps, as CBOR. One flat form for all messages: which of
- * its figures a kind uses stands where that kind is made and read.
+ * The consensus engine's messages and what its log keeps, as CBOR. One flat form for all messages:
+ * which of its figures a kind uses stands where that kind is made and read.
  */
 final class RaftCodec {
     private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
 
     /** The kinds of messages, by their place: new ones go to the end. */
     private enum Kind {
-        APPEND, APPENDED, NOT_APPENDED, SNAPSHOT, SNAPSHOT_TAKEN, PRE_VOTE, PRE_VOTED, VOTE, VOTED, TAKE_OVER
-    }
-
-    /** An operation: a proposal's bytes, a change of the members, or, with neither, the start of a term. */
-    record Op(byte[] proposal, Members members, String endpoint, String mode) {
-    }
+        APPEND,
+        APPENDED,
+        NOT_APPENDED,
+        SNAPSHOT,
+        SNAPSHOT_TAKEN,
+        PRE_VOTE,
+        PRE_VOTED,
+        VOTE,
+        VOTED,
+        TAKE_OVER
+    }
+
+    /**
+     * An operation: a proposal's bytes, a change of the members, or, with neither, the start of a
+     * term.
+     */
+    record Op(byte[] proposal, Members members, String endpoint, String mode) {}
 
     /** An entry of the log. */
-    record Entry(long index, int term, Op op) {
-    }
+    record Entry(long index, int term, Op op) {}
 
     /** Who is in the group since an index; who votes. */
-    record Members(long index, List<String> all, List<String> voting) {
-    }
+    record Members(long index, List<String> all, List<String> voting) {}
 
     /** A part of a snapshot. */
-    record Chunk(long index, int term, byte[] bytes, int at, int of, Members members) {
-    }
+    record Chunk(long index, int term, byte[] bytes, int at, int of, Members members) {}
 
     /** Term and vote. */
-    record Term(int term, String votedFor) {
-    }
+    record Term(int term, String votedFor) {}
 
     /** This replica. */
-    record Self(String member, boolean voting) {
-    }
+    record Self(String member, boolean voting) {}
 
     /** A message. */
-    private record Packet(Kind kind, String from, int term, int otherTerm, long index, long commit,
-            long query, long flow, boolean flag, int count, List<Entry> entries, Chunk chunk, Members members,
-            List<String> holders) {
-    }
+    private record Packet(
+            Kind kind,
+            String from,
+            int term,
+            int otherTerm,
+            long index,
+            long commit,
+            long query,
+            long flow,
+            boolean flag,
+            int count,
+            List<Entry> entries,
+            Chunk chunk,
+            Members members,
+            List<String> holders) {}
 
     private final Object group;
 
@@ -92,13 +109,22 @@
     }
 
     static Members members(RaftGroupMembersView view) {
-        return view == null ? null
-            : new Members(view.getLogIndex(), names(view.getMembers()), names(view.getVotingMembers()));
+        return view == null
+                ? null
+                : new Members(
+                        view.getLogIndex(),
+                        names(view.getMembers()),
+                        names(view.getVotingMembers()));
     }
 
     static RaftGroupMembersView view(Members members) {
-        return members == null ? null : MODEL.createRaftGroupMembersViewBuilder().setLogIndex(members.index())
-            .setMembers(members(members.all())).setVotingMembers(members(members.voting())).build();
+        return members == null
+                ? null
+                : MODEL.createRaftGroupMembersViewBuilder()
+                        .setLogIndex(members.index())
+                        .setMembers(members(members.all()))
+                        .setVotingMembers(members(members.voting()))
+                        .build();
     }
 
     private static Op op(Object operation) {
@@ -106,8 +132,11 @@
             return new Op(proposal, null, null, null);
         }
         if (operation instanceof UpdateRaftGroupMembersOp change) {
-            return new Op(null, new Members(0, names(change.getMembers()), names(change.getVotingMembers())),
-                name(change.getEndpoint()), change.getMode().name());
+            return new Op(
+                    null,
+                    new Members(0, names(change.getMembers()), names(change.getVotingMembers())),
+                    name(change.getEndpoint()),
+                    change.getMode().name());
         }
         return new Op(null, null, null, null);
     }
@@ -119,9 +148,12 @@
         if (op.members() == null) {
             return NewTerm.ENTRY;
         }
-        return MODEL.createUpdateRaftGroupMembersOpBuilder().setMembers(members(op.members().all()))
-            .setVotingMembers(members(op.members().voting())).setEndpoint(member(op.endpoint()))
-            .setMode(MembershipChangeMode.valueOf(op.mode())).build();
+        return MODEL.createUpdateRaftGroupMembersOpBuilder()
+                .setMembers(members(op.members().all()))
+                .setVotingMembers(members(op.members().voting()))
+                .setEndpoint(member(op.endpoint()))
+                .setMode(MembershipChangeMode.valueOf(op.mode()))
+                .build();
     }
 
     static Entry entry(LogEntry entry) {
@@ -129,20 +161,36 @@
     }
 
     static LogEntry logEntry(Entry entry) {
-        return MODEL.createLogEntryBuilder().setIndex(entry.index()).setTerm(entry.term())
-            .setOperation(operation(entry.op())).build();
+        return MODEL.createLogEntryBuilder()
+                .setIndex(entry.index())
+                .setTerm(entry.term())
+                .setOperation(operation(entry.op()))
+                .build();
     }
 
     static Chunk chunk(SnapshotChunk chunk) {
-        return chunk == null ? null : new Chunk(chunk.getIndex(), chunk.getTerm(),
-            (byte[]) chunk.getOperation(), chunk.getSnapshotChunkIndex(), chunk.getSnapshotChunkCount(),
-            members(chunk.getGroupMembersView()));
+        return chunk == null
+                ? null
+                : new Chunk(
+                        chunk.getIndex(),
+                        chunk.getTerm(),
+                        (byte[]) chunk.getOperation(),
+                        chunk.getSnapshotChunkIndex(),
+                        chunk.getSnapshotChunkCount(),
+                        members(chunk.getGroupMembersView()));
     }
 
     static SnapshotChunk snapshotChunk(Chunk chunk) {
-        return chunk == null ? null : MODEL.createSnapshotChunkBuilder().setIndex(chunk.index())
-            .setTerm(chunk.term()).setOperation(chunk.bytes()).setSnapshotChunkIndex(chunk.at())
-            .setSnapshotChunkCount(chunk.of()).setGroupMembersView(view(chunk.members())).build();
+        return chunk == null
+                ? null
+                : MODEL.createSnapshotChunkBuilder()
+                        .setIndex(chunk.index())
+                        .setTerm(chunk.term())
+                        .setOperation(chunk.bytes())
+                        .setSnapshotChunkIndex(chunk.at())
+                        .setSnapshotChunkCount(chunk.of())
+                        .setGroupMembersView(view(chunk.members()))
+                        .build();
     }
 
     // ---- messages
@@ -151,15 +199,42 @@
         return Codec.bytes(packet(message));
     }
 
-    private static Packet plain(Kind kind, RaftMessage message, int otherTerm, long index, boolean flag) {
-        return new Packet(kind, name(message.getSender()), message.getTerm(), otherTerm, index, 0, 0, 0, flag,
-            0, null, null, null, null);
-    }
-
-    private static Packet answer(Kind kind, RaftMessage message, long index, int count, long query,
-            long flow) {
-        return new Packet(kind, name(message.getSender()), message.getTerm(), 0, index, 0, query, flow, false,
-            count, null, null, null, null);
+    private static Packet plain(
+            Kind kind, RaftMessage message, int otherTerm, long index, boolean flag) {
+        return new Packet(
+                kind,
+                name(message.getSender()),
+                message.getTerm(),
+                otherTerm,
+                index,
+                0,
+                0,
+                0,
+                flag,
+                0,
+                null,
+                null,
+                null,
+                null);
+    }
+
+    private static Packet answer(
+            Kind kind, RaftMessage message, long index, int count, long query, long flow) {
+        return new Packet(
+                kind,
+                name(message.getSender()),
+                message.getTerm(),
+                0,
+                index,
+                0,
+                query,
+                flow,
+                false,
+                count,
+                null,
+                null,
+                null,
+                null);
     }
 
     private static Packet packet(RaftMessage message) {
@@ -173,17 +248,39 @@
     }
 
     private static Packet append(AppendEntriesRequest m) {
-        return new Packet(Kind.APPEND, name(m.getSender()), m.getTerm(), m.getPreviousLogTerm(),
-            m.getPreviousLogIndex(), m.getCommitIndex(), m.getQuerySequenceNumber(),
-            m.getFlowControlSequenceNumber(), false, 0,
-            m.getLogEntries().stream().map(RaftCodec::entry).toList(), null, null, null);
+        return new Packet(
+                Kind.APPEND,
+                name(m.getSender()),
+                m.getTerm(),
+                m.getPreviousLogTerm(),
+                m.getPreviousLogIndex(),
+                m.getCommitIndex(),
+                m.getQuerySequenceNumber(),
+                m.getFlowControlSequenceNumber(),
+                false,
+                0,
+                m.getLogEntries().stream().map(RaftCodec::entry).toList(),
+                null,
+                null,
+                null);
     }
 
     private static Packet snapshot(InstallSnapshotRequest m) {
-        return new Packet(Kind.SNAPSHOT, name(m.getSender()), m.getTerm(), m.getSnapshotTerm(),
-            m.getSnapshotIndex(), 0, m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber(),
-            m.isSenderLeader(), m.getTotalSnapshotChunkCount(), null, chunk(m.getSnapshotChunk()),
-            members(m.getGroupMembersView()), names(m.getSnapshottedMembers()));
+        return new Packet(
+                Kind.SNAPSHOT,
+                name(m.getSender()),
+                m.getTerm(),
+                m.getSnapshotTerm(),
+                m.getSnapshotIndex(),
+                0,
+                m.getQuerySequenceNumber(),
+                m.getFlowControlSequenceNumber(),
+                m.isSenderLeader(),
+                m.getTotalSnapshotChunkCount(),
+                null,
+                chunk(m.getSnapshotChunk()),
+                members(m.getGroupMembersView()),
+                names(m.getSnapshottedMembers()));
     }
 
     private static Packet appendPacket(RaftMessage message) {
@@ -191,12 +288,22 @@
             return append(m);
         }
         if (message instanceof AppendEntriesSuccessResponse m) {
-            return answer(Kind.APPENDED, m, m.getLastLogIndex(), 0, m.getQuerySequenceNumber(),
-                m.getFlowControlSequenceNumber());
+            return answer(
+                    Kind.APPENDED,
+                    m,
+                    m.getLastLogIndex(),
+                    0,
+                    m.getQuerySequenceNumber(),
+                    m.getFlowControlSequenceNumber());
         }
         if (message instanceof AppendEntriesFailureResponse m) {
-            return answer(Kind.NOT_APPENDED, m, m.getExpectedNextIndex(), 0, m.getQuerySequenceNumber(),
-                m.getFlowControlSequenceNumber());
+            return answer(
+                    Kind.NOT_APPENDED,
+                    m,
+                    m.getExpectedNextIndex(),
+                    0,
+                    m.getQuerySequenceNumber(),
+                    m.getFlowControlSequenceNumber());
         }
         return null;
     }
@@ -206,8 +313,13 @@
             return snapshot(m);
         }
         if (message instanceof InstallSnapshotResponse m) {
-            return answer(Kind.SNAPSHOT_TAKEN, m, m.getSnapshotIndex(), m.getRequestedSnapshotChunkIndex(),
-                m.getQuerySequenceNumber(), m.getFlowControlSequenceNumber());
+            return answer(
+                    Kind.SNAPSHOT_TAKEN,
+                    m,
+                    m.getSnapshotIndex(),
+                    m.getRequestedSnapshotChunkIndex(),
+                    m.getQuerySequenceNumber(),
+                    m.getFlowControlSequenceNumber());
         }
         return null;
     }
@@ -246,17 +358,36 @@
 
     private RaftMessage message(Packet p) {
         return switch (p.kind()) {
-            case APPEND -> MODEL.createAppendEntriesRequestBuilder().setGroupId(group)
-                .setSender(member(p.from())).setTerm(p.term()).setPreviousLogTerm(p.otherTerm())
-                .setPreviousLogIndex(p.index()).setCommitIndex(p.commit())
-                .setLogEntries(p.entries().stream().map(RaftCodec::logEntry).toList())
-                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
-            case APPENDED -> MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId(group)
-                .setSender(member(p.from())).setTerm(p.term()).setLastLogIndex(p.index())
-                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
-            case NOT_APPENDED -> MODEL.createAppendEntriesFailureResponseBuilder().setGroupId(group)
-                .setSender(member(p.from())).setTerm(p.term()).setExpectedNextIndex(p.index())
-                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+            case APPEND ->
+                    MODEL.createAppendEntriesRequestBuilder()
+                            .setGroupId(group)
+                            .setSender(member(p.from()))
+                            .setTerm(p.term())
+                            .setPreviousLogTerm(p.otherTerm())
+                            .setPreviousLogIndex(p.index())
+                            .setCommitIndex(p.commit())
+                            .setLogEntries(p.entries().stream().map(RaftCodec::logEntry).toList())
+                            .setQuerySequenceNumber(p.query())
+                            .setFlowControlSequenceNumber(p.flow())
+                            .build();
+            case APPENDED ->
+                    MODEL.createAppendEntriesSuccessResponseBuilder()
+                            .setGroupId(group)
+                            .setSender(member(p.from()))
+                            .setTerm(p.term())
+                            .setLastLogIndex(p.index())
+                            .setQuerySequenceNumber(p.query())
+                            .setFlowControlSequenceNumber(p.flow())
+                            .build();
+            case NOT_APPENDED ->
+                    MODEL.createAppendEntriesFailureResponseBuilder()
+                            .setGroupId(group)
+                            .setSender(member(p.from()))
+                            .setTerm(p.term())
+                            .setExpectedNextIndex(p.index())
+                            .setQuerySequenceNumber(p.query())
+                            .setFlowControlSequenceNumber(p.flow())
+                            .build();
             case SNAPSHOT, SNAPSHOT_TAKEN -> snapshotMessage(p);
             case PRE_VOTE, PRE_VOTED, VOTE, VOTED, TAKE_OVER -> electionMessage(p);
         };
@@ -264,32 +395,74 @@
 
     private RaftMessage snapshotMessage(Packet p) {
         if (p.kind() == Kind.SNAPSHOT_TAKEN) {
-            return MODEL.createInstallSnapshotResponseBuilder().setGroupId(group).setSender(member(p.from()))
-                .setTerm(p.term()).setSnapshotIndex(p.index()).setRequestedSnapshotChunkIndex(p.count())
-                .setQuerySequenceNumber(p.query()).setFlowControlSequenceNumber(p.flow()).build();
+            return MODEL.createInstallSnapshotResponseBuilder()
+                    .setGroupId(group)
+                    .setSender(member(p.from()))
+                    .setTerm(p.term())
+                    .setSnapshotIndex(p.index())
+                    .setRequestedSnapshotChunkIndex(p.count())
+                    .setQuerySequenceNumber(p.query())
+                    .setFlowControlSequenceNumber(p.flow())
+                    .build();
         }
-        return MODEL.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(member(p.from()))
-            .setTerm(p.term()).setSenderLeader(p.flag()).setSnapshotTerm(p.otherTerm())
-            .setSnapshotIndex(p.index()).setTotalSnapshotChunkCount(p.count())
-            .setSnapshotChunk(snapshotChunk(p.chunk())).setSnapshottedMembers(members(p.holders()))
-            .setGroupMembersView(view(p.members())).setQuerySequenceNumber(p.query())
-            .setFlowControlSequenceNumber(p.flow()).build();
+        return MODEL.createInstallSnapshotRequestBuilder()
+                .setGroupId(group)
+                .setSender(member(p.from()))
+                .setTerm(p.term())
+                .setSenderLeader(p.flag())
+                .setSnapshotTerm(p.otherTerm())
+                .setSnapshotIndex(p.index())
+                .setTotalSnapshotChunkCount(p.count())
+                .setSnapshotChunk(snapshotChunk(p.chunk()))
+                .setSnapshottedMembers(members(p.holders()))
+                .setGroupMembersView(view(p.members()))
+                .setQuerySequenceNumber(p.query())
+                .setFlowControlSequenceNumber(p.flow())
+                .build();
     }
 
     private RaftMessage electionMessage(Packet p) {
         RaftEndpoint from = member(p.from());
         return switch (p.kind()) {
-            case PRE_VOTE -> MODEL.createPreVoteRequestBuilder().setGroupId(group).setSender(from)
-                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index()).build();
-            case PRE_VOTED -> MODEL.createPreVoteResponseBuilder().setGroupId(group).setSender(from)
-                .setTerm(p.term()).setGranted(p.flag()).build();
-            case VOTE -> MODEL.createVoteRequestBuilder().setGroupId(group).setSender(from)
-                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index())
-                .setSticky(p.flag()).build();
-            case VOTED -> MODEL.createVoteResponseBuilder().setGroupId(group).setSender(from)
-                .setTerm(p.term()).setGranted(p.flag()).build();
-            default -> MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(group).setSender(from)
-                .setTerm(p.term()).setLastLogTerm(p.otherTerm()).setLastLogIndex(p.index()).build();
+            case PRE_VOTE ->
+                    MODEL.createPreVoteRequestBuilder()
+                            .setGroupId(group)
+                            .setSender(from)
+                            .setTerm(p.term())
+                            .setLastLogTerm(p.otherTerm())
+                            .setLastLogIndex(p.index())
+                            .build();
+            case PRE_VOTED ->
+                    MODEL.createPreVoteResponseBuilder()
+                            .setGroupId(group)
+                            .setSender(from)
+                            .setTerm(p.term())
+                            .setGranted(p.flag())
+                            .build();
+            case VOTE ->
+                    MODEL.createVoteRequestBuilder()
+                            .setGroupId(group)
+                            .setSender(from)
+                            .setTerm(p.term())
+                            .setLastLogTerm(p.otherTerm())
+                            .setLastLogIndex(p.index())
+                            .setSticky(p.flag())
+                            .build();
+            case VOTED ->
+                    MODEL.createVoteResponseBuilder()
+                            .setGroupId(group)
+                            .setSender(from)
+                            .setTerm(p.term())
+                            .setGranted(p.flag())
+                            .build();
+            default ->
+                    MODEL.createTriggerLeaderElectionRequestBuilder()
+                            .setGroupId(group)
+                            .setSender(from)
+                            .setTerm(p.term())
+                            .setLastLogTerm(p.otherTerm())
+                            .setLastLogIndex(p.index())
+                            .build();
         };
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/RaftThread.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/RaftThread.java
@@ -10,14 +10,15 @@
 import saltstage.log.Log;
 
 /**
- * The one thread of a replica, and the clock of its engine. The engine counts heartbeats in whole seconds and
- * takes five for the least silence; here its clock goes some times faster than the world's, so that a dead
- * leader is noticed sooner. It is monotonic: steps of the wall clock touch neither elections nor time-outs.
+ * The one thread of a replica, and the clock of its engine. The engine counts heartbeats in whole
+ * seconds and takes five for the least silence; here its clock goes some times faster than the
+ * world's, so that a dead leader is noticed sooner. It is monotonic: steps of the wall clock touch
+ * neither elections nor time-outs.
  */
 final class RaftThread implements RaftNodeExecutor {
     /**
-     * The engine takes the time since 0 for silence of a leader: a start at 0 would wait for one that
-     * never was.
+     * The engine takes the time since 0 for silence of a leader: a start at 0 would wait for one
+     * that never was.
      */
     private static final long BEGINS = 1_000_000_000;
 
@@ -27,11 +28,14 @@
 
     RaftThread(String name, double speed) {
         this.speed = speed;
-        thread = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread made = new Thread(task, name);
-            made.setDaemon(true);
-            return made;
-        });
+        thread =
+                new ScheduledThreadPoolExecutor(
+                        1,
+                        task -> {
+                            Thread made = new Thread(task, name);
+                            made.setDaemon(true);
+                            return made;
+                        });
         thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         thread.setRemoveOnCancelPolicy(true);
     }
@@ -40,7 +44,9 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException fault) { // the engine's thread must go on for the tasks after it
+            } catch (
+                    RuntimeException
+                            fault) { // the engine's thread must go on for the tasks after it
                 Log.error("replica.fault", fault);
             }
         };
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -32,9 +32,9 @@
 import saltstage.store.Store;
 
 /**
- * One replica of a group: the consensus engine, its log in the embedded store, its links and the state. A
- * command is answered once a majority has it durable; a replica that cannot keep what it must ends its
- * process rather than go on with a state that nobody knows.
+ * One replica of a group: the consensus engine, its log in the embedded store, its links and the
+ * state. A command is answered once a majority has it durable; a replica that cannot keep what it
+ * must ends its process rather than go on with a state that nobody knows.
  */
 public final class Replica implements AutoCloseable, PeerLinks.Events {
     private static final Duration LOOK = Duration.ofMillis(200);
@@ -43,12 +43,27 @@
     private static final int CAUGHT_UP = 200;
 
     /** How a replica stands, by itself. */
-    public record Status(String name, String group, String role, int term, String leader,
-            String leaderClients, List<String> voters, List<String> learners, List<String> first,
-            long commitIndex, long lastIndex,
-            long snapshotIndex, int level, int speaks, long groupNow, long day, int leases, int sessions,
-            Map<String, Boolean> links, Map<String, GroupState.MemberRow> members) {
-    }
+    public record Status(
+            String name,
+            String group,
+            String role,
+            int term,
+            String leader,
+            String leaderClients,
+            List<String> voters,
+            List<String> learners,
+            List<String> first,
+            long commitIndex,
+            long lastIndex,
+            long snapshotIndex,
+            int level,
+            int speaks,
+            long groupNow,
+            long day,
+            int leases,
+            int sessions,
+            Map<String, Boolean> links,
+            Map<String, GroupState.MemberRow> members) {}
 
     /** Ends the process: code and why. */
     public interface Fatal {
@@ -66,7 +81,8 @@
     private final Fatal fatal;
     private final Transport transport;
     private final Store store;
-    private final String process = Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
+    private final String process =
+            Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
     private final Map<String, Beat> beats = new ConcurrentHashMap<>();
     private final Map<String, PeerLinks.Hello> hellos = new ConcurrentHashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
@@ -75,8 +91,7 @@
     private long lastTick;
     private volatile boolean closed;
 
-    private record Beat(PeerLinks.Beat told, long at) {
-    }
+    private record Beat(PeerLinks.Beat told, long at) {}
 
     /** Starts it; a store that belongs to another group, name or disk is refused. */
     public Replica(ReplicaSettings settings, Store store, Transport transport, Fatal fatal)
@@ -90,8 +105,14 @@
         thread = new RaftThread("replica", settings.speed());
         machine = new Machine(fatal, this::changed);
         LogStore log = new LogStore(store, why -> fatal.end(74, "store: " + why.getMessage()));
-        links = new PeerLinks(transport, codec, ownHello(), this, this::address,
-            () -> new PeerLinks.Beat(settings.wall().getAsLong(), settings.speaks()));
+        links =
+                new PeerLinks(
+                        transport,
+                        codec,
+                        ownHello(),
+                        this,
+                        this::address,
+                        () -> new PeerLinks.Beat(settings.wall().getAsLong(), settings.speaks()));
         node = engine(log);
         links.listen(settings.peers());
         names().forEach(links::keep);
@@ -100,16 +121,28 @@
     }
 
     private PeerLinks.Hello ownHello() {
-        return new PeerLinks.Hello(identity.group(), settings.name(), identity.disk(), process,
-            settings.speaks(), text(settings.peers()), text(settings.clients()));
+        return new PeerLinks.Hello(
+                identity.group(),
+                settings.name(),
+                identity.disk(),
+                process,
+                settings.speaks(),
+                text(settings.peers()),
+                text(settings.clients()));
     }
 
     /** The consensus engine on what the log holds, or on the group's first members. */
     private RaftNode engine(LogStore log) throws IOException {
         RestoredRaftState restored = log.restore();
-        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(identity.group())
-            .setConfig(config()).setExecutor(thread).setTransport(links).setStateMachine(machine)
-            .setStore(log).setClock(thread.clock());
+        RaftNode.RaftNodeBuilder builder =
+                RaftNode.newBuilder()
+                        .setGroupId(identity.group())
+                        .setConfig(config())
+                        .setExecutor(thread)
+                        .setTransport(links)
+                        .setStateMachine(machine)
+                        .setStore(log)
+                        .setClock(thread.clock());
         if (restored != null) {
             builder.setRestoredState(restored);
         } else {
@@ -121,10 +154,15 @@
     }
 
     private RaftConfig config() {
-        return RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(1_000).setLeaderHeartbeatPeriodSecs(1)
-            .setLeaderHeartbeatTimeoutSecs(5).setCommitCountToTakeSnapshot(settings.snapshotEvery())
-            .setMaxPendingLogEntryCount(settings.mostPending()).setAppendEntriesRequestBatchSize(500)
-            .setTransferSnapshotsFromFollowersEnabled(false).build();
+        return RaftConfig.newBuilder()
+                .setLeaderElectionTimeoutMillis(1_000)
+                .setLeaderHeartbeatPeriodSecs(1)
+                .setLeaderHeartbeatTimeoutSecs(5)
+                .setCommitCountToTakeSnapshot(settings.snapshotEvery())
+                .setMaxPendingLogEntryCount(settings.mostPending())
+                .setAppendEntriesRequestBatchSize(500)
+                .setTransferSnapshotsFromFollowersEnabled(false)
+                .build();
     }
 
     private static String text(InetSocketAddress address) {
@@ -132,7 +170,9 @@
     }
 
     private Collection<String> names() {
-        return node.getEffectiveMembers().getMembers().stream().map(m -> (String) m.getId()).toList();
+        return node.getEffectiveMembers().getMembers().stream()
+                .map(m -> (String) m.getId())
+                .toList();
     }
 
     /** Where a peer is reached: by the settings of this one, else where it says that it is. */
@@ -146,8 +186,9 @@
             return null;
         }
         int colon = row.peers().lastIndexOf(':');
-        return new InetSocketAddress(row.peers().substring(0, colon),
-            Integer.parseInt(row.peers().substring(colon + 1)));
+        return new InetSocketAddress(
+                row.peers().substring(0, colon),
+                Integer.parseInt(row.peers().substring(colon + 1)));
     }
 
     // ---- what peers say
@@ -159,8 +200,10 @@
         }
         GroupState.MemberRow row = known.get(who.from());
         if (row != null && !row.disk().equals(who.disk())) {
-            return Identity.OTHER_DISK + ": " + who.from()
-                + " was on another disk; remove it, and let the new one join under a name of its own";
+            return Identity.OTHER_DISK
+                    + ": "
+                    + who.from()
+                    + " was on another disk; remove it, and let the new one join under a name of its own";
         }
         if (who.speaks() < level) {
             return "its build knows level " + who.speaks() + ", the group works at " + level;
@@ -169,13 +212,21 @@
         return null;
     }
 
-    /** Peers have mostly said who they are before anybody led: the leader tells the group when it can. */
+    /**
+     * Peers have mostly said who they are before anybody led: the leader tells the group when it
+     * can.
+     */
     private void introduce() {
         for (PeerLinks.Hello who : hellos.values()) {
             GroupState.MemberRow row = known.get(who.from());
-            if (names().contains(who.from()) && (row == null || row.disk().equals(who.disk())
-                    && !(who.peers().equals(row.peers()) && who.clients().equals(row.clients())))) {
-                own(new GroupCommands.Introduce(who.from(), who.disk(), who.peers(), who.clients()));
+            if (names().contains(who.from())
+                    && (row == null
+                            || row.disk().equals(who.disk())
+                                    && !(who.peers().equals(row.peers())
+                                            && who.clients().equals(row.clients())))) {
+                own(
+                        new GroupCommands.Introduce(
+                                who.from(), who.disk(), who.peers(), who.clients()));
             }
         }
     }
@@ -219,9 +270,11 @@
         level = machine.state().level();
         links.keepOnly(names());
         long now = System.nanoTime();
-        boolean timed = machine.state().leases().nextDue() != Long.MAX_VALUE
-            || machine.state().windows().alive();
-        if (leads() && now - lastTick >= (timed ? LOOK : QUIET_TICK).toNanos() - LOOK.toNanos() / 2) {
+        boolean timed =
+                machine.state().leases().nextDue() != Long.MAX_VALUE
+                        || machine.state().windows().alive();
+        if (leads()
+                && now - lastTick >= (timed ? LOOK : QUIET_TICK).toNanos() - LOOK.toNanos() / 2) {
             lastTick = now;
             introduce();
             tick(now);
@@ -229,25 +282,38 @@
     }
 
     private void tick(long now) {
-        Map<String, Long> walls = new TreeMap<>(Map.of(settings.name(), settings.wall().getAsLong()));
+        Map<String, Long> walls =
+                new TreeMap<>(Map.of(settings.name(), settings.wall().getAsLong()));
         Map<String, Integer> speaks = new TreeMap<>(Map.of(settings.name(), settings.speaks()));
-        beats.forEach((name, beat) -> {
-            long age = TimeUnit.NANOSECONDS.toMillis(now - beat.at());
-            if (age < 10_000) {
-                walls.put(name, beat.told().wallMs() + age);
-                speaks.put(name, beat.told().speaks());
-            }
-        });
+        beats.forEach(
+                (name, beat) -> {
+                    long age = TimeUnit.NANOSECONDS.toMillis(now - beat.at());
+                    if (age < 10_000) {
+                        walls.put(name, beat.told().wallMs() + age);
+                        speaks.put(name, beat.told().speaks());
+                    }
+                });
         if (!known.containsKey(settings.name())) {
-            own(new GroupCommands.Introduce(settings.name(), identity.disk(), text(settings.peers()),
-                text(settings.clients())));
+            own(
+                    new GroupCommands.Introduce(
+                            settings.name(),
+                            identity.disk(),
+                            text(settings.peers()),
+                            text(settings.clients())));
         }
-        own(new GroupCommands.Tick(walls, speaks, node.getCommittedMembers().getVotingMembers().stream()
-            .map(m -> (String) m.getId()).sorted().toList()));
+        own(
+                new GroupCommands.Tick(
+                        walls,
+                        speaks,
+                        node.getCommittedMembers().getVotingMembers().stream()
+                                .map(m -> (String) m.getId())
+                                .sorted()
+                                .toList()));
     }
 
     private void own(Command command) {
-        propose("", 0, command).exceptionally(failed -> null); // the next look sees whether it is still due
+        propose("", 0, command)
+                .exceptionally(failed -> null); // the next look sees whether it is still due
     }
 
     private void changed() {
@@ -263,7 +329,9 @@
 
     // ---- what clients want
 
-    /** Is told once, on the engine's thread, when the state next changes by itself or by somebody. */
+    /**
+     * Is told once, on the engine's thread, when the state next changes by itself or by somebody.
+     */
     public boolean onChange(Runnable told) {
         synchronized (waiting) {
             return waiting.size() < MOST_WAITING && waiting.add(told);
@@ -280,9 +348,12 @@
 
     /** Reads the state: as the group has it now, or as it was here some time ago. */
     public <T> CompletableFuture<T> read(Function<GroupState, T> question, boolean stale) {
-        return node.<T>query(new Machine.Question(state -> question.apply(state)),
-            stale ? QueryPolicy.EVENTUAL_CONSISTENCY : QueryPolicy.LINEARIZABLE, Optional.empty(),
-            Optional.empty()).thenApply(Ordered::getResult);
+        return node.<T>query(
+                        new Machine.Question(state -> question.apply(state)),
+                        stale ? QueryPolicy.EVENTUAL_CONSISTENCY : QueryPolicy.LINEARIZABLE,
+                        Optional.empty(),
+                        Optional.empty())
+                .thenApply(Ordered::getResult);
     }
 
     /** Where the leader takes calls, or null where none is known. */
@@ -305,8 +376,12 @@
         Member member = new Member(name);
         GroupState.MemberRow row = known.get(name);
         if (row != null && !row.disk().equals(disk)) {
-            return CompletableFuture.failedFuture(new IllegalArgumentException(
-                Identity.OTHER_DISK + ": the name " + name + " is taken, or was: join under one of its own"));
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException(
+                            Identity.OTHER_DISK
+                                    + ": the name "
+                                    + name
+                                    + " is taken, or was: join under one of its own"));
         }
         var members = node.getCommittedMembers();
         if (members.getVotingMembers().contains(member)) {
@@ -314,49 +389,89 @@
         }
         if (!members.getMembers().contains(member)) {
             return propose("", 0, new GroupCommands.Introduce(name, disk, peers, clients))
-                .thenCompose(done -> node.changeMembership(member, MembershipChangeMode.ADD_LEARNER,
-                    members.getLogIndex())).thenApply(done -> "learns");
+                    .thenCompose(
+                            done ->
+                                    node.changeMembership(
+                                            member,
+                                            MembershipChangeMode.ADD_LEARNER,
+                                            members.getLogIndex()))
+                    .thenApply(done -> "learns");
         }
-        return node.getReport().thenCompose(report -> {
-            RaftNodeReport now = report.getResult();
-            long at = now.getLog().getFollowerMatchIndices().getOrDefault(member, 0L);
-            if (now.getLog().getLastLogOrSnapshotIndex() - at > CAUGHT_UP) {
-                return CompletableFuture.completedFuture("learns");
-            }
-            return node.changeMembership(member, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
-                node.getCommittedMembers().getLogIndex()).thenApply(done -> "votes");
-        });
+        return node.getReport()
+                .thenCompose(
+                        report -> {
+                            RaftNodeReport now = report.getResult();
+                            long at =
+                                    now.getLog().getFollowerMatchIndices().getOrDefault(member, 0L);
+                            if (now.getLog().getLastLogOrSnapshotIndex() - at > CAUGHT_UP) {
+                                return CompletableFuture.completedFuture("learns");
+                            }
+                            return node.changeMembership(
+                                            member,
+                                            MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
+                                            node.getCommittedMembers().getLogIndex())
+                                    .thenApply(done -> "votes");
+                        });
     }
 
     /** Lets a member go: dead, or leaving. */
     public CompletableFuture<String> leave(String name) {
         Member member = new Member(name);
         var members = node.getCommittedMembers();
-        CompletableFuture<?> out = members.getMembers().contains(member)
-            ? node.changeMembership(member, MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex())
-            : CompletableFuture.completedFuture(null);
+        CompletableFuture<?> out =
+                members.getMembers().contains(member)
+                        ? node.changeMembership(
+                                member, MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex())
+                        : CompletableFuture.completedFuture(null);
         return out.thenCompose(done -> propose("", 0, new GroupCommands.Forget(name)))
-            .thenApply(done -> "gone");
+                .thenApply(done -> "gone");
     }
 
     /** How it stands. */
     public CompletableFuture<Status> status() {
-        return node.getReport().thenApplyAsync(report -> { // the state belongs to the engine's thread
-            RaftNodeReport now = report.getResult();
-            GroupState state = machine.state();
-            List<String> voters = now.getCommittedMembers().getVotingMembers().stream()
-                .map(m -> (String) m.getId()).sorted().toList();
-            List<String> learners = now.getCommittedMembers().getMembers().stream()
-                .map(m -> (String) m.getId()).filter(m -> !voters.contains(m)).sorted().toList();
-            RaftEndpoint leader = now.getTerm().getLeaderEndpoint();
-            return new Status(settings.name(), identity.group(), now.getRole().name().toLowerCase(),
-                now.getTerm().getTerm(), leader == null ? null : (String) leader.getId(), leaderClients(),
-                voters, learners, now.getInitialMembers().getMembers().stream().map(m -> (String) m.getId())
-                    .sorted().toList(), now.getLog().getCommitIndex(),
-                now.getLog().getLastLogOrSnapshotIndex(), now.getLog().getLastSnapshotIndex(), state.level(),
-                settings.speaks(), state.time().now(), state.time().day(), state.leases().size(),
-                state.sessions(), links.up(), new TreeMap<>(state.members()));
-        }, thread::execute);
+        return node.getReport()
+                .thenApplyAsync(
+                        report -> { // the state belongs to the engine's thread
+                            RaftNodeReport now = report.getResult();
+                            GroupState state = machine.state();
+                            List<String> voters =
+                                    now.getCommittedMembers().getVotingMembers().stream()
+                                            .map(m -> (String) m.getId())
+                                            .sorted()
+                                            .toList();
+                            List<String> learners =
+                                    now.getCommittedMembers().getMembers().stream()
+                                            .map(m -> (String) m.getId())
+                                            .filter(m -> !voters.contains(m))
+                                            .sorted()
+                                            .toList();
+                            RaftEndpoint leader = now.getTerm().getLeaderEndpoint();
+                            return new Status(
+                                    settings.name(),
+                                    identity.group(),
+                                    now.getRole().name().toLowerCase(),
+                                    now.getTerm().getTerm(),
+                                    leader == null ? null : (String) leader.getId(),
+                                    leaderClients(),
+                                    voters,
+                                    learners,
+                                    now.getInitialMembers().getMembers().stream()
+                                            .map(m -> (String) m.getId())
+                                            .sorted()
+                                            .toList(),
+                                    now.getLog().getCommitIndex(),
+                                    now.getLog().getLastLogOrSnapshotIndex(),
+                                    now.getLog().getLastSnapshotIndex(),
+                                    state.level(),
+                                    settings.speaks(),
+                                    state.time().now(),
+                                    state.time().day(),
+                                    state.leases().size(),
+                                    state.sessions(),
+                                    links.up(),
+                                    new TreeMap<>(state.members()));
+                        },
+                        thread::execute);
     }
 
     /** This replica's disk. */
@@ -367,7 +482,10 @@
     @Override
     public void close() throws IOException {
         closed = true;
-        node.terminate().completeOnTimeout(null, 3, TimeUnit.SECONDS).exceptionally(any -> null).join();
+        node.terminate()
+                .completeOnTimeout(null, 3, TimeUnit.SECONDS)
+                .exceptionally(any -> null)
+                .join();
         links.end();
         thread.end();
         transport.close();
--- a/coordinator/src/main/java/saltstage/coordinator/replica/ReplicaSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/ReplicaSettings.java
@@ -23,8 +23,18 @@
  * @param clockRate for tests: how fast its monotonic clock goes in its stamps; 1 in service
  * @param wall the time of day in milliseconds since 1970
  */
-public record ReplicaSettings(String group, String name, Collection<String> first, InetSocketAddress peers,
-        InetSocketAddress clients, Map<String, InetSocketAddress> reach, Map<String, String> clientsOf,
-        Path dir, double speed, int snapshotEvery, int mostPending, int speaks, double clockRate,
-        LongSupplier wall) {
-}
+public record ReplicaSettings(
+        String group,
+        String name,
+        Collection<String> first,
+        InetSocketAddress peers,
+        InetSocketAddress clients,
+        Map<String, InetSocketAddress> reach,
+        Map<String, String> clientsOf,
+        Path dir,
+        double speed,
+        int snapshotEvery,
+        int mostPending,
+        int speaks,
+        double clockRate,
+        LongSupplier wall) {}
--- a/coordinator/src/main/java/saltstage/coordinator/replica/package-info.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/package-info.java
@@ -1,2 +1,5 @@
-/** A replica: consensus by MicroRaft, its log in the embedded store, its links on the relay's transport. */
+/**
+ * A replica: consensus by MicroRaft, its log in the embedded store, its links on the relay's
+ * transport.
+ */
 package saltstage.coordinator.replica;
