--- a/coordinator/src/main/java/saltstage/coordinator/settings/AgentSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/AgentSettings.java
@@ -13,11 +13,14 @@
 import saltstage.wire.MalformedException;
 
 /**
- * A region's agent: the relays that it calls, where its nodes are looked at, and what is run while nodes are
- * out (nothing: they are only kept out for the time).
+ * A region's agent: the relays that it calls, where its nodes are looked at, and what is run while
+ * nodes are out (nothing: they are only kept out for the time).
  */
-public record AgentSettings(String region, Map<String, InetSocketAddress> relays,
-        Map<String, InetSocketAddress> nodes, List<String> work) {
+public record AgentSettings(
+        String region,
+        Map<String, InetSocketAddress> relays,
+        Map<String, InetSocketAddress> nodes,
+        List<String> work) {
     /** Reads the block {@code agent} of a file. */
     public static AgentSettings read(Path file) throws MalformedException {
         try {
@@ -32,11 +35,16 @@
         HclBlock top = HclFile.parse(name, text);
         List<HclBlock> agents = top.all("agent");
         if (agents.size() != 1 || agents.get(0).labels().size() != 1) {
-            throw new MalformedException(name + ": takes one block 'agent' with one label, its region");
+            throw new MalformedException(
+                    name + ": takes one block 'agent' with one label, its region");
         }
         HclBlock agent = agents.get(0);
-        AgentSettings read = new AgentSettings(agent.labels().get(0), places(agent, "relay", "admin"),
-            places(agent, "node", "at"), agent.texts("work"));
+        AgentSettings read =
+                new AgentSettings(
+                        agent.labels().get(0),
+                        places(agent, "relay", "admin"),
+                        places(agent, "node", "at"),
+                        agent.texts("work"));
         agent.finish();
         top.finish();
         if (read.relays().isEmpty() || read.nodes().isEmpty()) {
@@ -57,7 +65,8 @@
                 }
             } catch (MalformedException bad) {
                 throw bad.getMessage().equals("bad address")
-                    ? block.wrong(attribute, "an address in figures with a port") : bad;
+                        ? block.wrong(attribute, "an address in figures with a port")
+                        : bad;
             }
             block.finish();
         }
--- a/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
@@ -22,8 +22,7 @@
  */
 public final class CoordinatorSettings {
     /** Where a replica is heard: by its peers and by clients. */
-    public record Place(InetSocketAddress peers, InetSocketAddress clients) {
-    }
+    public record Place(InetSocketAddress peers, InetSocketAddress clients) {}
 
     private final String group;
     private final Path dir;
@@ -72,12 +71,14 @@
         block.finish();
     }
 
-    private static InetSocketAddress address(HclBlock block, String name) throws MalformedException {
+    private static InetSocketAddress address(HclBlock block, String name)
+            throws MalformedException {
         String text = block.need(name);
         try {
             return HostList.address(text);
         } catch (MalformedException bad) {
-            throw block.wrong(name, "an address in figures with a port, such as \"127.0.0.1:7101\"");
+            throw block.wrong(
+                    name, "an address in figures with a port, such as \"127.0.0.1:7101\"");
         }
     }
 
@@ -115,25 +116,39 @@
     }
 
     /** How this replica of it is set up; one that joins is heard where it says. */
-    public ReplicaSettings replica(String name, Path otherDir, Place joining) throws MalformedException {
+    public ReplicaSettings replica(String name, Path otherDir, Place joining)
+            throws MalformedException {
         Place place = joining == null ? members.get(name) : joining;
         if (place == null) {
-            throw new MalformedException("no member '" + name + "' in the settings; there are "
-                + members.keySet());
+            throw new MalformedException(
+                    "no member '" + name + "' in the settings; there are " + members.keySet());
         }
         Map<String, InetSocketAddress> reached = new LinkedHashMap<>();
         Map<String, String> clients = new LinkedHashMap<>();
-        members.forEach((other, at) -> {
-            reached.put(other, at.peers());
-            clients.put(other, at.clients().getHostString() + ":" + at.clients().getPort());
-        });
+        members.forEach(
+                (other, at) -> {
+                    reached.put(other, at.peers());
+                    clients.put(other, at.clients().getHostString() + ":" + at.clients().getPort());
+                });
         reached.putAll(reach);
         List<String> first = new ArrayList<>(members.keySet());
         if (joining != null) { // it belongs to the group only once it was taken in
             first.remove(name);
         }
-        return new ReplicaSettings(group, name, first, place.peers(), place.clients(), reached,
-            clients, otherDir == null ? dir.resolve(name) : otherDir, speed, snapshotEvery, mostPending,
-            speaks, clockRate, () -> System.currentTimeMillis() + wallOff);
+        return new ReplicaSettings(
+                group,
+                name,
+                first,
+                place.peers(),
+                place.clients(),
+                reached,
+                clients,
+                otherDir == null ? dir.resolve(name) : otherDir,
+                speed,
+                snapshotEvery,
+                mostPending,
+                speaks,
+                clockRate,
+                () -> System.currentTimeMillis() + wallOff);
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/settings/FleetSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/FleetSettings.java
@@ -21,17 +21,21 @@
 
 /** What operators have agreed about the fleet, from the block {@code fleet} of a settings file. */
 public final class FleetSettings {
-    private static final List<String> DAYS = List.of("mon", "tue", "wed", "thu", "fri", "sat", "sun");
+    private static final List<String> DAYS =
+            List.of("mon", "tue", "wed", "thu", "fri", "sat", "sun");
     private static final Pattern TIME = Pattern.compile("([01]?\\d|2[0-4]):([0-5]\\d)");
     private static final long UNIT = 1_000; // a mean connection load, in thousandths
     private static final long MOST_LOADS = 10_000_000;
+
     /** So far ahead changes of the clocks are written into the plan; it is set anew long before. */
     private static final Duration AHEAD = Duration.ofDays(800);
 
-    private FleetSettings() {
-    }
+    private FleetSettings() {}
 
-    /** Reads the plan; the changes of clocks from this moment on are taken from this machine's tables. */
+    /**
+     * Reads the plan; the changes of clocks from this moment on are taken from this machine's
+     * tables.
+     */
     public static FleetPlan read(Path file, Instant now) throws MalformedException {
         try {
             return of(file.toString(), Files.readString(file), now);
@@ -56,11 +60,21 @@
         for (HclBlock block : fleet.all("floor")) {
             floors.add(floor(block, zones, now));
         }
-        FleetPlan plan = new FleetPlan(
-            fleet.span("slot", Duration.ofMinutes(5), Duration.ofMillis(100), Duration.ofHours(1)).toMillis(),
-            zones, regions, floors, (int) fleet.whole("most_regions", 1, 1, 1_000),
-            fleet.span("spacing", Duration.ZERO, Duration.ZERO, Duration.ofDays(30)).toMillis(),
-            10 * (int) fleet.whole("cold_percent", 31, 0, 100));
+        FleetPlan plan =
+                new FleetPlan(
+                        fleet.span(
+                                        "slot",
+                                        Duration.ofMinutes(5),
+                                        Duration.ofMillis(100),
+                                        Duration.ofHours(1))
+                                .toMillis(),
+                        zones,
+                        regions,
+                        floors,
+                        (int) fleet.whole("most_regions", 1, 1, 1_000),
+                        fleet.span("spacing", Duration.ZERO, Duration.ZERO, Duration.ofDays(30))
+                                .toMillis(),
+                        10 * (int) fleet.whole("cold_percent", 31, 0, 100));
         fleet.finish();
         return plan;
     }
@@ -72,11 +86,14 @@
         return block.labels().get(0);
     }
 
-    private static FleetPlan.Region region(HclBlock block, Map<String, List<FleetPlan.Shift>> zones,
-            Instant now) throws MalformedException {
+    private static FleetPlan.Region region(
+            HclBlock block, Map<String, List<FleetPlan.Shift>> zones, Instant now)
+            throws MalformedException {
         List<FleetPlan.Node> nodes = new ArrayList<>();
         for (HclBlock node : block.all("node")) {
-            nodes.add(new FleetPlan.Node(label(node), UNIT * node.whole("capacity", 0, 1, MOST_LOADS)));
+            nodes.add(
+                    new FleetPlan.Node(
+                            label(node), UNIT * node.whole("capacity", 0, 1, MOST_LOADS)));
             node.finish();
         }
         if (nodes.stream().anyMatch(node -> node.capacity() == 0)) {
@@ -91,8 +108,11 @@
                 }
                 days.add(1 + DAYS.indexOf(day));
             }
-            blackOuts.add(new FleetPlan.BlackOut(days.isEmpty() ? List.of(1, 2, 3, 4, 5, 6, 7) : days,
-                minute(out, "from"), minute(out, "to")));
+            blackOuts.add(
+                    new FleetPlan.BlackOut(
+                            days.isEmpty() ? List.of(1, 2, 3, 4, 5, 6, 7) : days,
+                            minute(out, "from"),
+                            minute(out, "to")));
             out.finish();
         }
         String zone = zone(block, zones, now);
@@ -106,39 +126,55 @@
         if (!time.matches()) {
             throw block.wrong(name, "a time of day such as \"17:30\"");
         }
-        return Math.min(1_440, 60 * Integer.parseInt(time.group(1)) + Integer.parseInt(time.group(2)));
+        return Math.min(
+                1_440, 60 * Integer.parseInt(time.group(1)) + Integer.parseInt(time.group(2)));
     }
 
-    private static FleetPlan.Floor floor(HclBlock block, Map<String, List<FleetPlan.Shift>> zones,
-            Instant now) throws MalformedException {
-        List<Long> demand = block.wholes("demand", 0, MOST_LOADS).stream().map(d -> d * UNIT).toList();
-        FleetPlan.Floor floor = new FleetPlan.Floor(label(block), block.texts("regions"),
-            UNIT * block.whole("least", 0, 0, MOST_LOADS), demand, zone(block, zones, now));
+    private static FleetPlan.Floor floor(
+            HclBlock block, Map<String, List<FleetPlan.Shift>> zones, Instant now)
+            throws MalformedException {
+        List<Long> demand =
+                block.wholes("demand", 0, MOST_LOADS).stream().map(d -> d * UNIT).toList();
+        FleetPlan.Floor floor =
+                new FleetPlan.Floor(
+                        label(block),
+                        block.texts("regions"),
+                        UNIT * block.whole("least", 0, 0, MOST_LOADS),
+                        demand,
+                        zone(block, zones, now));
         if (floor.regions().isEmpty() || !demand.isEmpty() && demand.size() != 24) {
-            throw block.complaint("takes 'regions', and 'demand' as 24 figures, one an hour, if at all");
+            throw block.complaint(
+                    "takes 'regions', and 'demand' as 24 figures, one an hour, if at all");
         }
         block.finish();
         return floor;
     }
 
-    private static String zone(HclBlock block, Map<String, List<FleetPlan.Shift>> zones, Instant now)
+    private static String zone(
+            HclBlock block, Map<String, List<FleetPlan.Shift>> zones, Instant now)
             throws MalformedException {
         String name = block.text("zone", "UTC");
         if (!ZoneId.getAvailableZoneIds().contains(name)) {
             throw block.wrong("zone", "a time zone such as \"Asia/Tokyo\"");
         }
-        zones.computeIfAbsent(name, any -> {
-            ZoneRules rules = ZoneId.of(name).getRules();
-            List<FleetPlan.Shift> shifts = new ArrayList<>();
-            shifts.add(new FleetPlan.Shift(0, rules.getOffset(now).getTotalSeconds() * 1_000L));
-            ZoneOffsetTransition next = rules.nextTransition(now);
-            while (next != null && next.getInstant().isBefore(now.plus(AHEAD))) {
-                shifts.add(new FleetPlan.Shift(next.getInstant().toEpochMilli(),
-                    next.getOffsetAfter().getTotalSeconds() * 1_000L));
-                next = rules.nextTransition(next.getInstant());
-            }
-            return shifts;
-        });
+        zones.computeIfAbsent(
+                name,
+                any -> {
+                    ZoneRules rules = ZoneId.of(name).getRules();
+                    List<FleetPlan.Shift> shifts = new ArrayList<>();
+                    shifts.add(
+                            new FleetPlan.Shift(
+                                    0, rules.getOffset(now).getTotalSeconds() * 1_000L));
+                    ZoneOffsetTransition next = rules.nextTransition(now);
+                    while (next != null && next.getInstant().isBefore(now.plus(AHEAD))) {
+                        shifts.add(
+                                new FleetPlan.Shift(
+                                        next.getInstant().toEpochMilli(),
+                                        next.getOffsetAfter().getTotalSeconds() * 1_000L));
+                        next = rules.nextTransition(next.getInstant());
+                    }
+                    return shifts;
+                });
         return name;
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/window/FleetPlan.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/FleetPlan.java
@@ -6,23 +6,29 @@
 import java.util.stream.Stream;
 
 /**
- * What was agreed about the fleet: its regions, what must be kept, and when nothing may begin. Capacity is in
- * thousandths of a mean connection load, times are in milliseconds since 1970. Time zones are given by their
- * offsets, with each change of them: replicas must not differ because their zone tables do.
+ * What was agreed about the fleet: its regions, what must be kept, and when nothing may begin.
+ * Capacity is in thousandths of a mean connection load, times are in milliseconds since 1970. Time
+ * zones are given by their offsets, with each change of them: replicas must not differ because
+ * their zone tables do.
  *
  * @param slotMs the grain of planning: what happens within a slot is taken for the whole of it
  * @param mostRegions so many regions may be in maintenance at once
  * @param spacingMs between the end of one window of a region and the next begin there
  * @param coldPermille what a node that has just returned can do, in thousandths of its capacity
  */
-public record FleetPlan(long slotMs, Map<String, List<Shift>> zones, List<Region> regions,
-        List<Floor> floors, int mostRegions, long spacingMs, int coldPermille) {
+public record FleetPlan(
+        long slotMs,
+        Map<String, List<Shift>> zones,
+        List<Region> regions,
+        List<Floor> floors,
+        int mostRegions,
+        long spacingMs,
+        int coldPermille) {
     /** Sums of these stay far from where they would overflow. */
     private static final long MOST_CAPACITY = 1_000_000_000_000_000L;
 
     /** From then on local time is so much ahead of UTC. */
-    public record Shift(long fromMs, long offsetMs) {
-    }
+    public record Shift(long fromMs, long offsetMs) {}
 
     /** A region. */
     public record Region(String name, String zone, List<Node> nodes, List<BlackOut> blackOuts) {
@@ -32,21 +38,21 @@
     }
 
     /** A node and what it can hold when warm. */
-    public record Node(String id, long capacity) {
-    }
+    public record Node(String id, long capacity) {}
 
-    /** On these days of the week (1 Monday) and minutes of the day, in the region's zone, nothing is out. */
-    public record BlackOut(List<Integer> days, int fromMinute, int toMinute) {
-    }
+    /**
+     * On these days of the week (1 Monday) and minutes of the day, in the region's zone, nothing is
+     * out.
+     */
+    public record BlackOut(List<Integer> days, int fromMinute, int toMinute) {}
 
     /**
-     * What must be there, at every moment, of these regions together: never less than a figure, nor than the
-     * demand that is forecast for that hour of the day. The global floor names all regions, a region's one,
-     * a tenant's those that it is confined to.
+     * What must be there, at every moment, of these regions together: never less than a figure, nor
+     * than the demand that is forecast for that hour of the day. The global floor names all
+     * regions, a region's one, a tenant's those that it is confined to.
      */
-    public record Floor(String name, List<String> regions, long least, List<Long> demandByHour,
-            String zone) {
-    }
+    public record Floor(
+            String name, List<String> regions, long least, List<Long> demandByHour, String zone) {}
 
     Region region(String name) {
         return regions.stream().filter(r -> r.name().equals(name)).findFirst().orElse(null);
@@ -70,10 +76,13 @@
         int day = 1 + (int) (minutes / 1_440);
         int minute = (int) (minutes % 1_440);
         for (BlackOut out : region.blackOuts()) {
-            boolean over = out.fromMinute() > out.toMinute(); // past midnight: it belongs to the day it began
+            boolean over =
+                    out.fromMinute()
+                            > out.toMinute(); // past midnight: it belongs to the day it began
             boolean today = out.days().contains(day);
             boolean yesterday = out.days().contains(day == 1 ? 7 : day - 1);
-            if (over ? today && minute >= out.fromMinute() || yesterday && minute < out.toMinute()
+            if (over
+                    ? today && minute >= out.fromMinute() || yesterday && minute < out.toMinute()
                     : today && minute >= out.fromMinute() && minute < out.toMinute()) {
                 return true;
             }
@@ -91,17 +100,32 @@
 
     /** What is wrong with it, or null. */
     String fault() {
-        if (slotMs < 100 || slotMs > 3_600_000 || regions.isEmpty() || mostRegions < 1 || spacingMs < 0
-                || coldPermille < 0 || coldPermille > 1_000) {
+        if (slotMs < 100
+                || slotMs > 3_600_000
+                || regions.isEmpty()
+                || mostRegions < 1
+                || spacingMs < 0
+                || coldPermille < 0
+                || coldPermille > 1_000) {
             return "a plan takes a slot of 100 ms to an hour, at least one region, mostRegions from 1 on,"
-                + " no negative spacing and a cold share of 0 to 1000 thousandths";
+                    + " no negative spacing and a cold share of 0 to 1000 thousandths";
         }
-        if (regions.size() > 100 || floors.size() > 150 || floors.stream().anyMatch(f -> f.least() < 0
-                || f.least() > MOST_CAPACITY || f.demandByHour().stream().anyMatch(d -> d > MOST_CAPACITY))) {
-            return "a plan has up to 100 regions and 150 floors, none of them over " + MOST_CAPACITY;
+        if (regions.size() > 100
+                || floors.size() > 150
+                || floors.stream()
+                        .anyMatch(
+                                f ->
+                                        f.least() < 0
+                                                || f.least() > MOST_CAPACITY
+                                                || f.demandByHour().stream()
+                                                        .anyMatch(d -> d > MOST_CAPACITY))) {
+            return "a plan has up to 100 regions and 150 floors, none of them over "
+                    + MOST_CAPACITY;
         }
         return Stream.concat(regions.stream().map(this::fault), floors.stream().map(this::fault))
-            .filter(Objects::nonNull).findFirst().orElse(null);
+                .filter(Objects::nonNull)
+                .findFirst()
+                .orElse(null);
     }
 
     private String fault(Region region) {
--- a/coordinator/src/main/java/saltstage/coordinator/window/Grid.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Grid.java
@@ -7,9 +7,10 @@
 import java.util.Map;
 
 /**
- * What is missing at each floor, slot by slot, from now to a horizon: the planner's table. A slot counts the
- * most that is missing at any moment of it; losses within a window only fall, so that is at its first
- * moment, or at the begin of a window within it, which takes the slot from its first moment on.
+ * What is missing at each floor, slot by slot, from now to a horizon: the planner's table. A slot
+ * counts the most that is missing at any moment of it; losses within a window only fall, so that is
+ * at its first moment, or at the begin of a window within it, which takes the slot from its first
+ * moment on.
  */
 final class Grid {
     /** Five weeks of five minutes: what lies beyond is not planned yet. */
@@ -18,16 +19,17 @@
     private final FleetPlan plan;
     private final long from;
     private final int slots;
+
     /** A floor's room by slot: what there is, less what must be, less what is missing. */
     private final Map<String, long[]> room = new HashMap<>();
+
     private final Map<String, List<FleetPlan.Floor>> floorsOf = new HashMap<>();
     private final Map<String, boolean[]> closed = new HashMap<>();
     private final Map<String, int[]> busy = new HashMap<>();
     private final int[] regionsOut;
 
     /** What keeps a window from a slot. */
-    record Block(int slot, String why) {
-    }
+    record Block(int slot, String why) {}
 
     Grid(FleetPlan plan, long now, long until) {
         this.plan = plan;
@@ -35,20 +37,26 @@
         slots = (int) Math.min(MOST_SLOTS, Math.max(1, (until - from) / plan.slotMs() + 2));
         regionsOut = new int[slots];
         for (FleetPlan.Floor floor : plan.floors()) {
-            long there = floor.regions().stream().mapToLong(name -> plan.region(name).capacity()).sum();
+            long there =
+                    floor.regions().stream().mapToLong(name -> plan.region(name).capacity()).sum();
             long[] row = new long[slots];
             for (int i = 0; i < slots; i++) {
                 row[i] = there - need(floor, i);
             }
             room.put(floor.name(), row);
-            floor.regions().forEach(name -> floorsOf.computeIfAbsent(name, any -> new ArrayList<>())
-                .add(floor));
+            floor.regions()
+                    .forEach(
+                            name ->
+                                    floorsOf.computeIfAbsent(name, any -> new ArrayList<>())
+                                            .add(floor));
         }
         for (FleetPlan.Region region : plan.regions()) {
             boolean[] row = new boolean[slots];
             if (!region.blackOuts().isEmpty()) {
                 for (int i = 0; i < slots; i++) {
-                    row[i] = plan.blackedOut(region, at(i)) || plan.blackedOut(region, at(i + 1) - 1);
+                    row[i] =
+                            plan.blackedOut(region, at(i))
+                                    || plan.blackedOut(region, at(i + 1) - 1);
                 }
             }
             closed.put(region.name(), row);
@@ -73,7 +81,9 @@
         return slot(at);
     }
 
-    /** Something is missing in a region outside any window, from now on until it is said to be back. */
+    /**
+     * Something is missing in a region outside any window, from now on until it is said to be back.
+     */
     void outage(String region, long lost) {
         for (FleetPlan.Floor floor : floorsOf.getOrDefault(region, List.of())) {
             long[] row = room.get(floor.name());
@@ -91,7 +101,10 @@
         int last = open ? slots : Math.min(slots, slot(window.plannedEnd() - 1) + 1);
         String region = window.wish().region();
         int[] used = busy.get(region);
-        int spaced = Math.min(slots, last + (int) ((plan.spacingMs() + plan.slotMs() - 1) / plan.slotMs()));
+        int spaced =
+                Math.min(
+                        slots,
+                        last + (int) ((plan.spacingMs() + plan.slotMs() - 1) / plan.slotMs()));
         for (int i = first; i < spaced; i++) {
             if (i < last && (sign > 0 ? used[i] == 0 : used[i] == 1)) {
                 regionsOut[i] += sign;
@@ -101,13 +114,20 @@
         for (FleetPlan.Floor floor : floorsOf.getOrDefault(region, List.of())) {
             long[] row = room.get(floor.name());
             for (int i = first; i < last; i++) {
-                row[i] -= sign * window.lossAt(Math.max(at(i), Math.max(now, begin)), now,
-                    plan.coldPermille());
+                row[i] -=
+                        sign
+                                * window.lossAt(
+                                        Math.max(at(i), Math.max(now, begin)),
+                                        now,
+                                        plan.coldPermille());
             }
         }
     }
 
-    /** What keeps a window that begins then from some slot; null: nothing. It is looked at as if planned. */
+    /**
+     * What keeps a window that begins then from some slot; null: nothing. It is looked at as if
+     * planned.
+     */
     Block block(Window window, long begin, long now) {
         Window there = window.at(begin, Window.State.PLANNED, now, "");
         int first = slot(begin);
@@ -140,15 +160,23 @@
             for (int i = first; i < last; i++) {
                 long loss = there.lossAt(Math.max(at(i), begin), now, plan.coldPermille());
                 if (row[i] < loss) {
-                    return new Block(i, "floor " + floor.name() + " would be short by " + (loss - row[i])
-                        + " thousandths of a mean load");
+                    return new Block(
+                            i,
+                            "floor "
+                                    + floor.name()
+                                    + " would be short by "
+                                    + (loss - row[i])
+                                    + " thousandths of a mean load");
                 }
             }
         }
         return null;
     }
 
-    /** The first begin from a moment on, within its latest end, that nothing blocks; or why there is none. */
+    /**
+     * The first begin from a moment on, within its latest end, that nothing blocks; or why there is
+     * none.
+     */
     Found firstFit(Window window, long notBefore, long now) {
         long begin = Math.max(notBefore, Math.max(now, window.wish().earliest()));
         Block last = null;
@@ -156,10 +184,12 @@
         while (begin + window.wish().lasts() <= window.wish().latest() && first < slots) {
             Block block = block(window, begin, now);
             if (block == null) {
-                return new Found(begin, last == null ? "its earliest moment" : "not earlier: " + last.why());
+                return new Found(
+                        begin, last == null ? "its earliest moment" : "not earlier: " + last.why());
             }
             last = block;
-            // What a window takes only falls with its time: begun later, and before the blocked slot, it
+            // What a window takes only falls with its time: begun later, and before the blocked
+            // slot, it
             // would
             // take as much of that slot or more.
             first = Math.max(slot(begin), block.slot()) + 1;
@@ -169,8 +199,7 @@
     }
 
     /** When it may begin (-1: never in time), and why then. */
-    record Found(long begin, String why) {
-    }
+    record Found(long begin, String why) {}
 
     /** The least room that any floor has from now on, for whoever looks for breaches. */
     long leastRoom(String floor) {
--- a/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 
 /**
- * Finds begins for the windows that wait. Few are tried in every order; many go by urgency and are then
- * improved within a bound: whoever is late is put before who keeps it out, as long as the whole gets shorter.
+ * Finds begins for the windows that wait. Few are tried in every order; many go by urgency and are
+ * then improved within a bound: whoever is late is put before who keeps it out, as long as the
+ * whole gets shorter.
  */
 final class Planner {
     /** Up to so many, each order is tried: 120 of them. */
     private static final int EXACT = 5;
+
     private static final int TRIES = 24;
     private static final long HORIZON_MS = 35L * 86_400_000;
 
@@ -22,7 +24,10 @@
     private final Collection<Window> fixed;
     private final Map<String, Long> outages;
 
-    /** A plan: where each window goes, and what it costs; fewer put off first, then the sum of the ends. */
+    /**
+     * A plan: where each window goes, and what it costs; fewer put off first, then the sum of the
+     * ends.
+     */
     record Placed(Map<Long, Window> windows, int unplaced, long ends) {
         boolean betterThan(Placed other) {
             return unplaced != other.unplaced ? unplaced < other.unplaced : ends < other.ends;
@@ -54,9 +59,12 @@
     /** Places all of them. */
     Placed place(Collection<Window> waiting) {
         List<Window> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparing((Window w) -> !w.wish().emergency())
-            .thenComparing(w -> -w.wish().priority()).thenComparing(w -> w.wish().latest())
-            .thenComparing(w -> -w.capacity() * w.wish().lasts()).thenComparing(Window::id));
+        order.sort(
+                Comparator.comparing((Window w) -> !w.wish().emergency())
+                        .thenComparing(w -> -w.wish().priority())
+                        .thenComparing(w -> w.wish().latest())
+                        .thenComparing(w -> -w.capacity() * w.wish().lasts())
+                        .thenComparing(Window::id));
         Placed best = inOrder(order);
         if (order.size() <= EXACT) {
             for (List<Window> other : permutations(order)) {
@@ -112,8 +120,18 @@
         int unplaced = 0;
         long ends = 0;
         while (!left.isEmpty()) {
-            Window next = left.stream().filter(w -> left.stream().noneMatch(
-                other -> w.wish().after().contains(other.id()))).findFirst().orElse(left.get(0));
+            Window next =
+                    left.stream()
+                            .filter(
+                                    w ->
+                                            left.stream()
+                                                    .noneMatch(
+                                                            other ->
+                                                                    w.wish()
+                                                                            .after()
+                                                                            .contains(other.id())))
+                            .findFirst()
+                            .orElse(left.get(0));
             left.remove(next);
             Window now1 = one(grid, next, known, placed);
             placed.put(now1.id(), now1);
@@ -128,7 +146,10 @@
         return new Placed(placed, unplaced, ends);
     }
 
-    /** Places one into the table, after those that it must come after and apart from those it must be. */
+    /**
+     * Places one into the table, after those that it must come after and apart from those it must
+     * be.
+     */
     Window one(Grid grid, Window window, Map<Long, Window> known, Map<Long, Window> placed) {
         long notBefore = now;
         for (Long before : window.wish().after()) {
@@ -137,7 +158,8 @@
                 continue;
             }
             if (first.state() != Window.State.PLANNED && !first.state().takesCapacity()) {
-                return window.at(0, Window.State.PUT_OFF, now, "window " + before + " must be over before");
+                return window.at(
+                        0, Window.State.PUT_OFF, now, "window " + before + " must be over before");
             }
             notBefore = Math.max(notBefore, first.plannedEnd());
         }
@@ -152,7 +174,8 @@
                 return there;
             }
             if (with.overdue(now)) {
-                return window.at(0, Window.State.PUT_OFF, now, "never together with window " + with.id());
+                return window.at(
+                        0, Window.State.PUT_OFF, now, "never together with window " + with.id());
             }
             notBefore = with.plannedEnd();
         }
@@ -165,9 +188,11 @@
         for (Window other : known.values()) {
             boolean counts = other.state() == Window.State.PLANNED || other.state().takesCapacity();
             long begin = other.begun() > 0 ? other.begun() : other.start();
-            if (counts && other.id() != window.id()
+            if (counts
+                    && other.id() != window.id()
                     && other.wish().apart().stream().anyMatch(window.wish().apart()::contains)
-                    && begin < window.plannedEnd() && window.start() < other.plannedEnd()) {
+                    && begin < window.plannedEnd()
+                    && window.start() < other.plannedEnd()) {
                 return other;
             }
         }
--- a/coordinator/src/main/java/saltstage/coordinator/window/Window.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Window.java
@@ -6,11 +6,20 @@
  * @param start when it is planned to begin
  * @param begun when its drain was allowed
  * @param since when its present state began
- * @param proven what of its capacity was proven to be back, in thousandths of a mean connection load
+ * @param proven what of its capacity was proven to be back, in thousandths of a mean connection
+ *     load
  * @param why how it came to its present place
  */
-public record Window(long id, Wish wish, State state, long capacity, long start, long begun, long since,
-        long proven, String why) {
+public record Window(
+        long id,
+        Wish wish,
+        State state,
+        long capacity,
+        long start,
+        long begun,
+        long since,
+        long proven,
+        String why) {
     /** The states of a window. */
     public enum State {
         /** It waits for its time. */
@@ -58,7 +67,8 @@
     }
 
     Window proven(long back) {
-        return new Window(id, wish, state, capacity, start, begun, since, Math.max(proven, back), why);
+        return new Window(
+                id, wish, state, capacity, start, begun, since, Math.max(proven, back), why);
     }
 
     /** When it should be over, from its begin or its plan. */
--- a/coordinator/src/main/java/saltstage/coordinator/window/WindowCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/WindowCommands.java
@@ -2,13 +2,14 @@
 
 import saltstage.coordinator.model.Command;
 
-/** What can be asked of windows. What an agent says it says under its region's lease and its fence. */
+/**
+ * What can be asked of windows. What an agent says it says under its region's lease and its fence.
+ */
 public final class WindowCommands {
     /** From this feature level on. */
     public static final int SINCE = 2;
 
-    private WindowCommands() {
-    }
+    private WindowCommands() {}
 
     /** What an agent has come to. */
     public enum Step {
@@ -63,7 +64,8 @@
     }
 
     /** An agent's step; said again it changes nothing. */
-    public record Report(long id, String owner, long fence, Step step, long proven) implements Command {
+    public record Report(long id, String owner, long fence, Step step, long proven)
+            implements Command {
         @Override
         public int since() {
             return SINCE;
--- a/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
@@ -17,25 +17,30 @@
 import saltstage.coordinator.window.WindowCommands.Step;
 
 /**
- * All windows of a group and the rules that they keep: at every moment what is planned to be missing and what
- * is missing together leave every floor. Capacity counts as out from the moment at which a drain may begin
- * until its return is proven, whatever becomes of its agent. Free of I/O, threads and clocks.
+ * All windows of a group and the rules that they keep: at every moment what is planned to be
+ * missing and what is missing together leave every floor. Capacity counts as out from the moment at
+ * which a drain may begin until its return is proven, whatever becomes of its agent. Free of I/O,
+ * threads and clocks.
  */
 public final class Windows {
     private static final int MOST_WAITING = 5_000;
     private static final int MOST_OVER = 500;
     private static final int MOST_PARTS = 1_000;
+
     /** In the year 2100: sums of times stay far from where they would overflow. */
     static final long LAST_DAY = 4_102_444_800_000L;
 
     /** What a snapshot keeps. */
-    public record Image(FleetPlan plan, long ids, List<Window> windows, Map<String, Long> outages,
-            Set<Long> unwanted, long looked) {
-    }
+    public record Image(
+            FleetPlan plan,
+            long ids,
+            List<Window> windows,
+            Map<String, Long> outages,
+            Set<Long> unwanted,
+            long looked) {}
 
     /** A floor at a moment: what is there at least, what must be, what is missing. */
-    public record Level(String floor, long at, long capacity, long need, long missing) {
-    }
+    public record Level(String floor, long at, long capacity, long need, long missing) {}
 
     private FleetPlan plan;
     private long ids;
@@ -61,8 +66,13 @@
 
     /** What a snapshot keeps. */
     public Image image() {
-        return new Image(plan, ids, List.copyOf(windows.values()), new TreeMap<>(outages),
-            new TreeSet<>(unwanted), looked);
+        return new Image(
+                plan,
+                ids,
+                List.copyOf(windows.values()),
+                new TreeMap<>(outages),
+                new TreeSet<>(unwanted),
+                looked);
     }
 
     /** What was agreed, or null. */
@@ -82,7 +92,8 @@
 
     /** Whether any may still change by itself. */
     public boolean alive() {
-        return windows.values().stream().anyMatch(w -> w.state().waits() || w.state().takesCapacity());
+        return windows.values().stream()
+                .anyMatch(w -> w.state().waits() || w.state().takesCapacity());
     }
 
     // ---- time
@@ -97,11 +108,14 @@
         boolean changed = false;
         for (Window window : List.copyOf(windows.values())) {
             if (window.state().waits() && now + window.wish().lasts() > window.wish().latest()) {
-                windows.put(window.id(), window.to(State.EXPIRED, now, "its time ran out: " + window.why()));
+                windows.put(
+                        window.id(),
+                        window.to(State.EXPIRED, now, "its time ran out: " + window.why()));
                 changed = true;
             } else if (window.overdue(now) && !window.overdue(before)) {
                 changed = true; // what it holds is missing until it says otherwise
-            } else if (window.state() == State.PLANNED && window.start() < now - 2 * plan.slotMs()) {
+            } else if (window.state() == State.PLANNED
+                    && window.start() < now - 2 * plan.slotMs()) {
                 changed = true; // nobody has begun it: its agent is gone, or was refused
             }
         }
@@ -118,8 +132,11 @@
     }
 
     private void forgetOld() {
-        List<Window> over = windows.values().stream().filter(w -> !w.state().waits()
-            && !w.state().takesCapacity()).sorted(Comparator.comparingLong(Window::since)).toList();
+        List<Window> over =
+                windows.values().stream()
+                        .filter(w -> !w.state().waits() && !w.state().takesCapacity())
+                        .sorted(Comparator.comparingLong(Window::since))
+                        .toList();
         for (int i = 0; i < over.size() - MOST_OVER; i++) {
             windows.remove(over.get(i).id());
         }
@@ -129,28 +146,59 @@
         return windows.values().stream().filter(w -> states.test(w.state())).toList();
     }
 
-    /** While a floor is short, drains that have not become outages are given back, the least wanted first. */
+    /**
+     * While a floor is short, drains that have not become outages are given back, the least wanted
+     * first.
+     */
     private void turnBack(long now) {
         for (FleetPlan.Floor floor : plan.floors()) {
             while (true) {
-                Grid grid = new Planner(plan, now, in(State::takesCapacity), outages).grid(List.of());
-                long room = grid.roomNow(floor.name()) + in(s -> s == State.RETURNING).stream().filter(
-                    w -> floor.regions().contains(w.wish().region())) // what is on its way back already
-                    .mapToLong(w -> w.lossAt(now, now, plan.coldPermille())).sum();
-                Window least = windows.values().stream().filter(w -> w.state() == State.DRAINING
-                    && floor.regions().contains(w.wish().region())).min(Comparator
-                    .comparing((Window w) -> w.wish().emergency()).thenComparing(w -> w.wish().priority())
-                    .thenComparing(w -> -w.begun()).thenComparing(w -> -w.id())).orElse(null);
+                Grid grid =
+                        new Planner(plan, now, in(State::takesCapacity), outages).grid(List.of());
+                long room =
+                        grid.roomNow(floor.name())
+                                + in(s -> s == State.RETURNING).stream()
+                                        .filter(
+                                                w ->
+                                                        floor.regions()
+                                                                .contains(
+                                                                        w.wish().region())) // what
+                                        // is on
+                                        // its
+                                        // way
+                                        // back
+                                        // already
+                                        .mapToLong(w -> w.lossAt(now, now, plan.coldPermille()))
+                                        .sum();
+                Window least =
+                        windows.values().stream()
+                                .filter(
+                                        w ->
+                                                w.state() == State.DRAINING
+                                                        && floor.regions()
+                                                                .contains(w.wish().region()))
+                                .min(
+                                        Comparator.comparing((Window w) -> w.wish().emergency())
+                                                .thenComparing(w -> w.wish().priority())
+                                                .thenComparing(w -> -w.begun())
+                                                .thenComparing(w -> -w.id()))
+                                .orElse(null);
                 if (room >= 0 || least == null) {
                     break;
                 }
-                windows.put(least.id(), least.to(State.RETURNING, now, "turned back: floor " + floor.name()
-                    + " is short by " + -room));
+                windows.put(
+                        least.id(),
+                        least.to(
+                                State.RETURNING,
+                                now,
+                                "turned back: floor " + floor.name() + " is short by " + -room));
             }
         }
     }
 
-    /** Keeps every plan that still holds; moves, and says so, only what cannot stay where it was. */
+    /**
+     * Keeps every plan that still holds; moves, and says so, only what cannot stay where it was.
+     */
     private void replan(long now) {
         Planner planner = new Planner(plan, now, in(State::takesCapacity), outages);
         List<Window> waiting = in(s -> s == State.PLANNED || s == State.PUT_OFF);
@@ -158,14 +206,19 @@
         Map<Long, Window> known = new LinkedHashMap<>();
         in(s -> !s.waits()).forEach(w -> known.put(w.id(), w));
         List<Window> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparing((Window w) -> !w.wish().emergency())
-            .thenComparing(w -> w.state() != State.PLANNED).thenComparing(w -> -w.wish().priority())
-            .thenComparing(Window::id));
+        order.sort(
+                Comparator.comparing((Window w) -> !w.wish().emergency())
+                        .thenComparing(w -> w.state() != State.PLANNED)
+                        .thenComparing(w -> -w.wish().priority())
+                        .thenComparing(Window::id));
         List<Window> homeless = new ArrayList<>();
         for (Window window : order) {
-            boolean stays = window.state() == State.PLANNED && window.start() >= now - 2 * plan.slotMs()
-                && window.wish().after().stream().allMatch(id -> over(id, window.start(), known))
-                && grid.block(window, Math.max(now, window.start()), now) == null;
+            boolean stays =
+                    window.state() == State.PLANNED
+                            && window.start() >= now - 2 * plan.slotMs()
+                            && window.wish().after().stream()
+                                    .allMatch(id -> over(id, window.start(), known))
+                            && grid.block(window, Math.max(now, window.start()), now) == null;
             if (stays) {
                 grid.add(window, now, 1);
                 known.put(window.id(), window);
@@ -180,14 +233,22 @@
 
     private boolean over(long id, long by, Map<Long, Window> known) {
         Window first = known.get(id);
-        return first != null && (first.state() == State.DONE || first.plannedEnd() <= by
-            && (first.state() == State.PLANNED || first.state().takesCapacity()));
+        return first != null
+                && (first.state() == State.DONE
+                        || first.plannedEnd() <= by
+                                && (first.state() == State.PLANNED
+                                        || first.state().takesCapacity()));
     }
 
-    private Window place(Planner planner, Grid grid, Map<Long, Window> known, Window window, long now) {
+    private Window place(
+            Planner planner, Grid grid, Map<Long, Window> known, Window window, long now) {
         Window placed = planner.one(grid, window, known, known);
         if (window.state() == State.PLANNED && placed.start() != window.start()) {
-            placed = placed.to(placed.state(), now, "moved from " + window.start() + ": " + placed.why());
+            placed =
+                    placed.to(
+                            placed.state(),
+                            now,
+                            "moved from " + window.start() + ": " + placed.why());
         }
         windows.put(placed.id(), placed);
         known.put(placed.id(), placed);
@@ -211,15 +272,22 @@
         }
         for (Window window : in(State::takesCapacity)) {
             FleetPlan.Region region = next.region(window.wish().region());
-            if (region == null || !region.nodes().stream().map(FleetPlan.Node::id).toList()
-                    .containsAll(window.wish().nodes())) {
-                return no("in-use", "window " + window.id() + " has nodes out that the plan does not name");
+            if (region == null
+                    || !region.nodes().stream()
+                            .map(FleetPlan.Node::id)
+                            .toList()
+                            .containsAll(window.wish().nodes())) {
+                return no(
+                        "in-use",
+                        "window " + window.id() + " has nodes out that the plan does not name");
             }
         }
         plan = next;
         for (Window window : in(State::waits)) {
             if (fault(window.wish()) != null) {
-                windows.put(window.id(), window.to(State.WITHDRAWN, now, "the new plan has no such nodes"));
+                windows.put(
+                        window.id(),
+                        window.to(State.WITHDRAWN, now, "the new plan has no such nodes"));
             }
         }
         settle(now);
@@ -232,28 +300,48 @@
             return "no region " + wish.region();
         }
         Set<String> there = new TreeSet<>(region.nodes().stream().map(FleetPlan.Node::id).toList());
-        if (wish.nodes().size() > MOST_PARTS || wish.after().size() > MOST_PARTS
-                || wish.apart().size() > MOST_PARTS || wish.earliest() < 0 || wish.latest() > LAST_DAY) {
+        if (wish.nodes().size() > MOST_PARTS
+                || wish.after().size() > MOST_PARTS
+                || wish.apart().size() > MOST_PARTS
+                || wish.earliest() < 0
+                || wish.latest() > LAST_DAY) {
             return "a window names up to " + MOST_PARTS + " of each, and ends by " + LAST_DAY;
         }
-        if (wish.nodes().isEmpty() || !there.containsAll(wish.nodes())
+        if (wish.nodes().isEmpty()
+                || !there.containsAll(wish.nodes())
                 || new HashSet<>(wish.nodes()).size() < wish.nodes().size()) {
-            return "a window takes nodes of its region, each once; " + wish.region() + " has " + there;
+            return "a window takes nodes of its region, each once; "
+                    + wish.region()
+                    + " has "
+                    + there;
         }
         long most = 7L * 86_400_000;
-        if (wish.drainMs() < 0 || wish.drainMs() > most || wish.workMs() < 0 || wish.workMs() > most
-                || wish.warmMs() < 0 || wish.warmMs() > most || wish.lasts() < 1 || wish.lasts() > most) {
+        if (wish.drainMs() < 0
+                || wish.drainMs() > most
+                || wish.workMs() < 0
+                || wish.workMs() > most
+                || wish.warmMs() < 0
+                || wish.warmMs() > most
+                || wish.lasts() < 1
+                || wish.lasts() > most) {
             return "a window lasts up to seven days, and no part of it is negative";
         }
-        if (wish.by() == null || wish.by().isBlank() || wish.purpose() == null || wish.purpose().isBlank()) {
+        if (wish.by() == null
+                || wish.by().isBlank()
+                || wish.purpose() == null
+                || wish.purpose().isBlank()) {
             return "who asks, and what for, must be said";
         }
-        return wish.latest() - wish.earliest() < wish.lasts() ? "it is longer than the time given" : null;
+        return wish.latest() - wish.earliest() < wish.lasts()
+                ? "it is longer than the time given"
+                : null;
     }
 
     private long capacity(Wish wish) {
-        return plan.region(wish.region()).nodes().stream().filter(n -> wish.nodes().contains(n.id()))
-            .mapToLong(FleetPlan.Node::capacity).sum();
+        return plan.region(wish.region()).nodes().stream()
+                .filter(n -> wish.nodes().contains(n.id()))
+                .mapToLong(FleetPlan.Node::capacity)
+                .sum();
     }
 
     /** Wants a window; the same wish again is the same window. */
@@ -265,8 +353,13 @@
         if (fault != null) {
             return no("bad-wish", fault);
         }
-        List<Window> same = windows.values().stream().filter(w -> w.wish().sameAs(wish)
-            && (w.state().waits() || w.state().takesCapacity())).toList();
+        List<Window> same =
+                windows.values().stream()
+                        .filter(
+                                w ->
+                                        w.wish().sameAs(wish)
+                                                && (w.state().waits() || w.state().takesCapacity()))
+                        .toList();
         if (!same.isEmpty()) {
             return new WindowReplies.Planned(same, true);
         }
@@ -274,12 +367,15 @@
             return no("too-many", MOST_WAITING + " windows wait already");
         }
         for (Window window : windows.values()) {
-            // One node cannot be in two windows at once; one after the other is asked for by 'after'.
+            // One node cannot be in two windows at once; one after the other is asked for by
+            // 'after'.
             if ((window.state().waits() || window.state().takesCapacity())
                     && window.wish().region().equals(wish.region())
                     && window.wish().nodes().stream().anyMatch(wish.nodes()::contains)
                     && !wish.after().contains(window.id())) {
-                return no("taken", "window " + window.id() + " has some of these nodes; name it in 'after'");
+                return no(
+                        "taken",
+                        "window " + window.id() + " has some of these nodes; name it in 'after'");
             }
         }
         List<Window> made = new ArrayList<>();
@@ -287,13 +383,18 @@
         return refused != null ? refused : new WindowReplies.Planned(made, false);
     }
 
-    /** Plans it whole, else in halves where it may be split, else says why not and when it would do. */
+    /**
+     * Plans it whole, else in halves where it may be split, else says why not and when it would do.
+     */
     private Refused add(Wish wish, long now, List<Window> made) {
         Planner planner = new Planner(plan, now, in(State::takesCapacity), outages);
-        Window window = new Window(ids + 1, wish, State.PUT_OFF, capacity(wish), 0, 0, now, 0, "proposed");
+        Window window =
+                new Window(ids + 1, wish, State.PUT_OFF, capacity(wish), 0, 0, now, 0, "proposed");
         List<Window> planned = in(s -> s == State.PLANNED);
-        List<Window> counted = wish.emergency() ? planned.stream().filter(w -> w.wish().emergency()).toList()
-            : planned;
+        List<Window> counted =
+                wish.emergency()
+                        ? planned.stream().filter(w -> w.wish().emergency()).toList()
+                        : planned;
         List<Window> table = new ArrayList<>(counted);
         table.add(window);
         Grid grid = planner.grid(table);
@@ -314,8 +415,13 @@
             Map<Long, Window> before = new LinkedHashMap<>(windows);
             int half = (wish.nodes().size() + 1) / 2;
             Refused first = add(wish.of(wish.nodes().subList(0, half)), now, made);
-            Refused second = first != null ? first
-                : add(wish.of(wish.nodes().subList(half, wish.nodes().size())), now, made);
+            Refused second =
+                    first != null
+                            ? first
+                            : add(
+                                    wish.of(wish.nodes().subList(half, wish.nodes().size())),
+                                    now,
+                                    made);
             if (second != null) { // all of it or nothing
                 windows.clear();
                 windows.putAll(before);
@@ -328,18 +434,36 @@
 
     private Refused refusal(Planner planner, Window window, Window placed, long now) {
         Wish later = window.wish();
-        Wish open = new Wish(later.region(), later.nodes(), later.drainMs(), later.workMs(), later.warmMs(),
-            later.earliest(), later.latest() + 14L * 86_400_000, later.priority(), later.emergency(), false,
-            later.after(), later.apart(), later.by(), later.purpose());
-        Window longer = new Window(window.id(), open, State.PUT_OFF, window.capacity(), 0, 0, now, 0, "");
+        Wish open =
+                new Wish(
+                        later.region(),
+                        later.nodes(),
+                        later.drainMs(),
+                        later.workMs(),
+                        later.warmMs(),
+                        later.earliest(),
+                        later.latest() + 14L * 86_400_000,
+                        later.priority(),
+                        later.emergency(),
+                        false,
+                        later.after(),
+                        later.apart(),
+                        later.by(),
+                        later.purpose());
+        Window longer =
+                new Window(window.id(), open, State.PUT_OFF, window.capacity(), 0, 0, now, 0, "");
         List<Window> table = new ArrayList<>(in(s -> s == State.PLANNED));
         table.add(longer);
         Grid grid = planner.grid(table);
         in(s -> s == State.PLANNED).forEach(w -> grid.add(w, now, 1));
         Grid.Found found = grid.firstFit(longer, now, now);
-        return new Refused("no-room", placed.why() + (found.begin() < 0
-            ? "; nor would it do within two weeks more" : "; it would do from " + found.begin()),
-            found.begin() < 0 ? 0 : Math.max(1, found.begin() - now));
+        return new Refused(
+                "no-room",
+                placed.why()
+                        + (found.begin() < 0
+                                ? "; nor would it do within two weeks more"
+                                : "; it would do from " + found.begin()),
+                found.begin() < 0 ? 0 : Math.max(1, found.begin() - now));
     }
 
     /** Wants it no more. */
@@ -368,8 +492,13 @@
         if (window == null || !window.state().waits()) {
             return no("no-window", "no window " + id + " that waits");
         }
-        windows.put(id, window.at(0, on ? State.PAUSED : State.PUT_OFF, now,
-            (on ? "held back by " : "let go on by ") + by));
+        windows.put(
+                id,
+                window.at(
+                        0,
+                        on ? State.PAUSED : State.PUT_OFF,
+                        now,
+                        (on ? "held back by " : "let go on by ") + by));
         settle(now);
         return new WindowReplies.Now(windows.get(id));
     }
@@ -381,23 +510,37 @@
             return no("no-window", "no window " + id);
         }
         if (window.state().takesCapacity()) {
-            return new WindowReplies.Now(window); // the answer was lost, or the agent is a successor
+            return new WindowReplies.Now(
+                    window); // the answer was lost, or the agent is a successor
         }
         if (window.state() != State.PLANNED) {
-            return no("not-planned", "window " + id + " is " + window.state() + ": " + window.why());
+            return no(
+                    "not-planned", "window " + id + " is " + window.state() + ": " + window.why());
         }
         if (window.start() > now) {
             return new Refused("early", "window " + id + " begins later", window.start() - now);
         }
         Grid grid = new Planner(plan, now, in(State::takesCapacity), outages).grid(List.of(window));
         Grid.Block block = grid.block(window, now, now);
-        boolean inOrder = window.wish().after().stream().allMatch(before ->
-            windows.get(before) == null || windows.get(before).state() == State.DONE);
-        boolean alone = in(State::takesCapacity).stream().noneMatch(other ->
-            other.wish().apart().stream().anyMatch(window.wish().apart()::contains));
+        boolean inOrder =
+                window.wish().after().stream()
+                        .allMatch(
+                                before ->
+                                        windows.get(before) == null
+                                                || windows.get(before).state() == State.DONE);
+        boolean alone =
+                in(State::takesCapacity).stream()
+                        .noneMatch(
+                                other ->
+                                        other.wish().apart().stream()
+                                                .anyMatch(window.wish().apart()::contains));
         if (block != null || !inOrder || !alone) {
-            String why = block != null ? block.why() : inOrder ? "another of its kind is under way"
-                : "a window that must be over before is not";
+            String why =
+                    block != null
+                            ? block.why()
+                            : inOrder
+                                    ? "another of its kind is under way"
+                                    : "a window that must be over before is not";
             windows.put(id, window.at(0, State.PUT_OFF, now, why));
             settle(now);
             return new Refused("not-now", why, plan.slotMs());
@@ -414,8 +557,19 @@
         }
         Window next = after(step, window, proven, now);
         if (next == null) {
-            return no("not-so", "window " + id + " is " + window.state() + ", proven " + window.proven()
-                + " of " + window.capacity() + "; " + step + " does not follow");
+            return no(
+                    "not-so",
+                    "window "
+                            + id
+                            + " is "
+                            + window.state()
+                            + ", proven "
+                            + window.proven()
+                            + " of "
+                            + window.capacity()
+                            + "; "
+                            + step
+                            + " does not follow");
         }
         windows.put(id, next);
         if (step == Step.DONE && next != window) {
@@ -424,16 +578,25 @@
         return new WindowReplies.Now(windows.get(id));
     }
 
-    /** The window after a step, the same where the step was taken before; null: the step does not follow. */
+    /**
+     * The window after a step, the same where the step was taken before; null: the step does not
+     * follow.
+     */
     private Window after(Step step, Window window, long proven, long now) {
         State state = window.state();
         return switch (step) {
-            case OUT -> state == State.DRAINING ? window.to(State.OUT, now, "its connections have left")
-                : state == State.OUT || state == State.WARMING ? window : null;
-            case WARMING -> state == State.OUT ? window.to(State.WARMING, now, "back, cold")
-                : state == State.WARMING ? window : null;
-            case PROVEN -> state == State.WARMING || state == State.RETURNING
-                ? window.proven(Math.min(proven, window.capacity())) : null;
+            case OUT ->
+                    state == State.DRAINING
+                            ? window.to(State.OUT, now, "its connections have left")
+                            : state == State.OUT || state == State.WARMING ? window : null;
+            case WARMING ->
+                    state == State.OUT
+                            ? window.to(State.WARMING, now, "back, cold")
+                            : state == State.WARMING ? window : null;
+            case PROVEN ->
+                    state == State.WARMING || state == State.RETURNING
+                            ? window.proven(Math.min(proven, window.capacity()))
+                            : null;
             case DONE -> state == State.DONE ? window : done(window, now);
         };
     }
@@ -451,13 +614,23 @@
 
     private Window returned(Window window, long now) {
         boolean gone = unwanted.remove(window.id());
-        return new Window(window.id(), window.wish(), gone ? State.WITHDRAWN : State.PUT_OFF,
-            window.capacity(), 0, 0, now, 0, gone ? window.why() : "given back; planned anew");
+        return new Window(
+                window.id(),
+                window.wish(),
+                gone ? State.WITHDRAWN : State.PUT_OFF,
+                window.capacity(),
+                0,
+                0,
+                now,
+                0,
+                gone ? window.why() : "given back; planned anew");
     }
 
     /** Something is missing outside any window, or is back. */
     public Reply outage(String region, long lost, long now) {
-        if (plan == null || plan.region(region) == null || lost < 0
+        if (plan == null
+                || plan.region(region) == null
+                || lost < 0
                 || lost > plan.region(region).capacity()) {
             return no("bad-outage", "no region " + region + " that could miss so much");
         }
@@ -468,7 +641,9 @@
         return new Done("noted");
     }
 
-    /** Nodes that nothing should be moved to: out, coming back, or planned to be out before long. */
+    /**
+     * Nodes that nothing should be moved to: out, coming back, or planned to be out before long.
+     */
     public Set<String> avoided(long now, long aheadMs) {
         Set<String> nodes = new TreeSet<>();
         for (Window window : windows.values()) {
@@ -491,17 +666,25 @@
         Collection<Window> counted = in(s -> s == State.PLANNED || s.takesCapacity());
         long step = Math.max(plan.slotMs(), (to - from) / Math.max(1, most));
         for (FleetPlan.Floor floor : plan.floors()) {
-            long there = floor.regions().stream().mapToLong(name -> plan.region(name).capacity()).sum();
-            long out = floor.regions().stream().mapToLong(name -> outages.getOrDefault(name, 0L)).sum();
+            long there =
+                    floor.regions().stream().mapToLong(name -> plan.region(name).capacity()).sum();
+            long out =
+                    floor.regions().stream()
+                            .mapToLong(name -> outages.getOrDefault(name, 0L))
+                            .sum();
             for (long at = from; at < to; at += step) {
                 long missing = out;
                 for (Window window : counted) {
-                    boolean counts = at > now || window.state().takesCapacity(); // what is planned is not out
+                    boolean counts =
+                            at > now
+                                    || window.state().takesCapacity(); // what is planned is not out
                     if (counts && floor.regions().contains(window.wish().region())) {
                         missing += window.lossAt(at, now, plan.coldPermille());
                     }
                 }
-                levels.add(new Level(floor.name(), at, there - missing, plan.need(floor, at), missing));
+                levels.add(
+                        new Level(
+                                floor.name(), at, there - missing, plan.need(floor, at), missing));
             }
         }
         return levels;
--- a/coordinator/src/main/java/saltstage/coordinator/window/Wish.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Wish.java
@@ -19,22 +19,36 @@
  * @param by who asks
  * @param purpose what for; the same wish for the same purpose is the same window
  */
-public record Wish(String region, List<String> nodes, long drainMs, long workMs, long warmMs, long earliest,
-        long latest, int priority, boolean emergency, boolean split, List<Long> after, List<String> apart,
-        String by, String purpose) {
+public record Wish(
+        String region,
+        List<String> nodes,
+        long drainMs,
+        long workMs,
+        long warmMs,
+        long earliest,
+        long latest,
+        int priority,
+        boolean emergency,
+        boolean split,
+        List<Long> after,
+        List<String> apart,
+        String by,
+        String purpose) {
     /** How long it takes in all, in milliseconds. */
     public long lasts() {
         return drainMs + workMs + warmMs;
     }
 
     Wish of(List<String> some) {
-        return new Wish(region, some, drainMs, workMs, warmMs, earliest, latest, priority, emergency, split,
-            after, apart, by, purpose);
+        return new Wish(
+                region, some, drainMs, workMs, warmMs, earliest, latest, priority, emergency, split,
+                after, apart, by, purpose);
     }
 
     boolean sameAs(Wish other) {
-        return region.equals(other.region) && purpose.equals(other.purpose)
-            && List.copyOf(new java.util.TreeSet<>(nodes)).equals(
-                List.copyOf(new java.util.TreeSet<>(other.nodes)));
+        return region.equals(other.region)
+                && purpose.equals(other.purpose)
+                && List.copyOf(new java.util.TreeSet<>(nodes))
+                        .equals(List.copyOf(new java.util.TreeSet<>(other.nodes)));
     }
 }
--- a/coordinator/src/test/java/saltstage/coordinator/advice/AdvisorTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/advice/AdvisorTest.java
@@ -19,15 +19,33 @@
     private final Advisor advisor = new Advisor(Advisor.Rules.usual());
 
     /** A node of 100 mean loads with so much of it in use, one large tenant and others. */
-    private static Board.View node(String name, long loadOfTenant, long others, double delay, long age) {
-        return new Board.View(new NodeSnapshot(name, "r", 1, 1, 100_000, delay, 20, List.of(
-            new NodeSnapshot.Tenant("t-" + name, (int) (loadOfTenant / 1_000), loadOfTenant, 1)), others),
-            age);
+    private static Board.View node(
+            String name, long loadOfTenant, long others, double delay, long age) {
+        return new Board.View(
+                new NodeSnapshot(
+                        name,
+                        "r",
+                        1,
+                        1,
+                        100_000,
+                        delay,
+                        20,
+                        List.of(
+                                new NodeSnapshot.Tenant(
+                                        "t-" + name,
+                                        (int) (loadOfTenant / 1_000),
+                                        loadOfTenant,
+                                        1)),
+                        others),
+                age);
     }
 
     private static List<Board.View> oneHot(long age) {
-        return List.of(node("a", 60_000, 35_000, 400, age), node("b", 5_000, 20_000, 5, age),
-            node("c", 5_000, 25_000, 6, age), node("d", 5_000, 30_000, 8, age));
+        return List.of(
+                node("a", 60_000, 35_000, 400, age),
+                node("b", 5_000, 20_000, 5, age),
+                node("c", 5_000, 25_000, 6, age),
+                node("d", 5_000, 30_000, 8, age));
     }
 
     private List<Move> moves(List<Board.View> views, Set<String> avoid, List<Made> made) {
@@ -51,14 +69,24 @@
 
     @Test
     void evenFleetAndAGapBelowASetUpAreLeftAlone() {
-        assertEquals(List.of(), moves(List.of(node("a", 20_000, 20_000, 12, 0),
-            node("b", 19_000, 20_000, 10, 0), node("c", 20_000, 18_000, 11, 0)), Set.of(), List.of()));
+        assertEquals(
+                List.of(),
+                moves(
+                        List.of(
+                                node("a", 20_000, 20_000, 12, 0),
+                                node("b", 19_000, 20_000, 10, 0),
+                                node("c", 20_000, 18_000, 11, 0)),
+                        Set.of(),
+                        List.of()));
     }
 
     @Test
     void onFewFreshSnapshotsItSaysSoAndNothingElse() {
-        List<Board.View> views = List.of(node("a", 60_000, 35_000, 400, 0),
-            node("b", 5_000, 20_000, 5, 99_999), node("c", 5_000, 20_000, 5, 99_999));
+        List<Board.View> views =
+                List.of(
+                        node("a", 60_000, 35_000, 400, 0),
+                        node("b", 5_000, 20_000, 5, 99_999),
+                        node("c", 5_000, 20_000, 5, 99_999));
         Advisor.Advice advice = advisor.advise(views, Set.of(), List.of(), 0);
         assertEquals(List.of(), advice.moves());
         assertTrue(advice.why().startsWith("only 1 of 3"), advice.why());
@@ -70,15 +98,24 @@
         assertEquals(List.of(), moves(oneHot(0), Set.of(), List.of(lately)), "a has just got it");
         Made longAgo = new Made("t-a", "b", "a", 10, -99_000, true);
         assertFalse(moves(oneHot(0), Set.of(), List.of(longAgo)).isEmpty());
-        assertEquals(List.of(), moves(oneHot(0), Set.of(), List.of(new Made("x", "y", "z", 200, 0, false))));
+        assertEquals(
+                List.of(),
+                moves(oneHot(0), Set.of(), List.of(new Made("x", "y", "z", 200, 0, false))));
     }
 
     @Test
     void manyMovesTogetherDoNotOverfillTheNodeThatEachAloneWouldPick() {
-        List<Board.View> views = List.of(node("a", 60_000, 35_000, 400, 0), node("e", 60_000, 35_000, 400, 0),
-            node("f", 60_000, 35_000, 400, 0), node("b", 5_000, 20_000, 5, 0));
-        long got = moves(views, Set.of(), List.of()).stream().filter(m -> m.to().equals("b"))
-            .mapToLong(m -> m.load() + 3_000).sum();
+        List<Board.View> views =
+                List.of(
+                        node("a", 60_000, 35_000, 400, 0),
+                        node("e", 60_000, 35_000, 400, 0),
+                        node("f", 60_000, 35_000, 400, 0),
+                        node("b", 5_000, 20_000, 5, 0));
+        long got =
+                moves(views, Set.of(), List.of()).stream()
+                        .filter(m -> m.to().equals("b"))
+                        .mapToLong(m -> m.load() + 3_000)
+                        .sum();
         assertTrue(got > 0 && 25_000 + got <= 85_000, "it got " + got);
     }
 
--- a/coordinator/src/test/java/saltstage/coordinator/lease/LeasesTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/lease/LeasesTest.java
@@ -40,7 +40,8 @@
         long second = fence(ask("b", 0, false, 1_000));
         assertTrue(second > first);
         assertFalse(leases.renew(new Renew("a", Map.of("x", first)), 1_001).lost().isEmpty());
-        assertFalse(leases.release(new Release("x", "a", first), 1_002), "an old fence frees nothing");
+        assertFalse(
+                leases.release(new Release("x", "a", first), 1_002), "an old fence frees nothing");
         assertTrue(leases.holds("x", "b", second, 1_003));
     }
 
@@ -60,7 +61,10 @@
         ask("low", 0, true, 900);
         assertEquals(1, ((Held) ask("low", 0, true, 990)).ahead());
         ask("low2", 0, true, 990);
-        assertInstanceOf(Held.class, ask("low", 0, true, 1_000), "it is kept for the one of higher priority");
+        assertInstanceOf(
+                Held.class,
+                ask("low", 0, true, 1_000),
+                "it is kept for the one of higher priority");
         long fence = fence(ask("high", 5, true, 1_001));
         leases.release(new Release("x", "high", fence), 1_002);
         assertInstanceOf(Held.class, ask("low2", 0, true, 1_003));
@@ -88,7 +92,8 @@
     @Test
     void whatIsNoNameOrSpanIsRefusedAndChangesNothing() {
         for (String name : new String[] {null, "", "a b", "x".repeat(201), "\u00e9"}) {
-            assertInstanceOf(Refused.class, leases.acquire(new Acquire(name, "a", 1_000, 0, false), 0));
+            assertInstanceOf(
+                    Refused.class, leases.acquire(new Acquire(name, "a", 1_000, 0, false), 0));
         }
         for (long ttl : new long[] {0, -1, 499, 3_600_001, Long.MAX_VALUE}) {
             assertInstanceOf(Refused.class, leases.acquire(new Acquire("x", "a", ttl, 0, true), 0));
@@ -106,8 +111,9 @@
     }
 
     /**
-     * Against a plain model: whoever was granted holds until its time is over or it gives up, nobody else is
-     * granted meanwhile, fences only grow, and a copy through an image goes on the same way.
+     * Against a plain model: whoever was granted holds until its time is over or it gives up,
+     * nobody else is granted meanwhile, fences only grow, and a copy through an image goes on the
+     * same way.
      */
     @Property(tries = 300)
     void grantsNeverOverlapWhateverHappens(@ForAll long seed) {
@@ -142,7 +148,9 @@
                 default -> copy();
             }
             String holds = holder.get(name);
-            assertEquals(holds != null, holds != null && played.holds(name, holds, fences.get(name), now));
+            assertEquals(
+                    holds != null,
+                    holds != null && played.holds(name, holds, fences.get(name), now));
         }
 
         private void acquire(String name, String owner, long now) {
--- a/coordinator/src/test/java/saltstage/coordinator/replica/LogStoreTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/replica/LogStoreTest.java
@@ -31,12 +31,14 @@
     private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
     private static final Member A = new Member("a");
 
-    @TempDir
-    Path dir;
+    @TempDir Path dir;
 
     private static LogEntry entry(long index, int term) {
-        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term)
-            .setOperation(new byte[] {(byte) index, (byte) term}).build();
+        return MODEL.createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(term)
+                .setOperation(new byte[] {(byte) index, (byte) term})
+                .build();
     }
 
     private static RaftGroupMembersView members() {
@@ -44,9 +46,14 @@
     }
 
     private static SnapshotChunk chunk(long index, int at, int of) {
-        return MODEL.createSnapshotChunkBuilder().setIndex(index).setTerm(2)
-            .setOperation(new byte[] {(byte) at})
-            .setSnapshotChunkIndex(at).setSnapshotChunkCount(of).setGroupMembersView(members()).build();
+        return MODEL.createSnapshotChunkBuilder()
+                .setIndex(index)
+                .setTerm(2)
+                .setOperation(new byte[] {(byte) at})
+                .setSnapshotChunkIndex(at)
+                .setSnapshotChunkCount(of)
+                .setGroupMembersView(members())
+                .build();
     }
 
     private Store open() throws IOException {
@@ -54,18 +61,24 @@
     }
 
     private static LogStore begun(Store store) throws IOException {
-        LogStore log = new LogStore(store, why -> { });
-        log.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder()
-            .setLocalEndpoint(new Member("a")).setVoting(true).build());
+        LogStore log = new LogStore(store, why -> {});
+        log.persistAndFlushLocalEndpoint(
+                MODEL.createRaftEndpointPersistentStateBuilder()
+                        .setLocalEndpoint(new Member("a"))
+                        .setVoting(true)
+                        .build());
         log.persistAndFlushInitialGroupMembers(members());
-        log.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(3)
-            .setVotedFor(new Member("b")).build());
+        log.persistAndFlushTerm(
+                MODEL.createRaftTermPersistentStateBuilder()
+                        .setTerm(3)
+                        .setVotedFor(new Member("b"))
+                        .build());
         return log;
     }
 
     private RestoredRaftState restored() throws IOException {
         try (Store store = open()) {
-            return new LogStore(store, why -> { }).restore();
+            return new LogStore(store, why -> {}).restore();
         }
     }
 
@@ -134,53 +147,128 @@
     }
 
     private static ReplicaSettings settings(String name) {
-        return new ReplicaSettings("g", name, List.of("a", "b"), null, null, null, null, null, 1, 100, 100, 1,
-            1, System::currentTimeMillis);
+        return new ReplicaSettings(
+                "g",
+                name,
+                List.of("a", "b"),
+                null,
+                null,
+                null,
+                null,
+                null,
+                1,
+                100,
+                100,
+                1,
+                1,
+                System::currentTimeMillis);
     }
 
     private static List<RaftMessage> appendMessages() {
         return List.of(
-            MODEL.createAppendEntriesRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setPreviousLogTerm(6).setPreviousLogIndex(5).setCommitIndex(4)
-                .setLogEntries(List.of(entry(6, 7), MODEL.createLogEntryBuilder().setIndex(7).setTerm(7)
-                    .setOperation(NewTerm.ENTRY).build())).setQuerySequenceNumber(3)
-                .setFlowControlSequenceNumber(2).build(),
-            MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId("g").setSender(A)
-                .setTerm(7).setLastLogIndex(9)
-                    .setQuerySequenceNumber(3).setFlowControlSequenceNumber(2).build(),
-            MODEL.createAppendEntriesFailureResponseBuilder().setGroupId("g").setSender(A)
-                .setTerm(7).setExpectedNextIndex(9).setQuerySequenceNumber(3).setFlowControlSequenceNumber(2)
-                .build());
+                MODEL.createAppendEntriesRequestBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setPreviousLogTerm(6)
+                        .setPreviousLogIndex(5)
+                        .setCommitIndex(4)
+                        .setLogEntries(
+                                List.of(
+                                        entry(6, 7),
+                                        MODEL.createLogEntryBuilder()
+                                                .setIndex(7)
+                                                .setTerm(7)
+                                                .setOperation(NewTerm.ENTRY)
+                                                .build()))
+                        .setQuerySequenceNumber(3)
+                        .setFlowControlSequenceNumber(2)
+                        .build(),
+                MODEL.createAppendEntriesSuccessResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setLastLogIndex(9)
+                        .setQuerySequenceNumber(3)
+                        .setFlowControlSequenceNumber(2)
+                        .build(),
+                MODEL.createAppendEntriesFailureResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setExpectedNextIndex(9)
+                        .setQuerySequenceNumber(3)
+                        .setFlowControlSequenceNumber(2)
+                        .build());
     }
 
     private static List<RaftMessage> snapshotMessages() {
         return List.of(
-            MODEL.createInstallSnapshotRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setSenderLeader(true).setSnapshotTerm(6).setSnapshotIndex(5).setTotalSnapshotChunkCount(2)
-                .setSnapshotChunk(chunk(5, 1, 2)).setSnapshottedMembers(List.of(new Member("b")))
-                .setGroupMembersView(members()).setQuerySequenceNumber(3).setFlowControlSequenceNumber(2)
-                .build(),
-            MODEL.createInstallSnapshotResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setSnapshotIndex(5).setRequestedSnapshotChunkIndex(1).setQuerySequenceNumber(3)
-                .setFlowControlSequenceNumber(2).build());
+                MODEL.createInstallSnapshotRequestBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setSenderLeader(true)
+                        .setSnapshotTerm(6)
+                        .setSnapshotIndex(5)
+                        .setTotalSnapshotChunkCount(2)
+                        .setSnapshotChunk(chunk(5, 1, 2))
+                        .setSnapshottedMembers(List.of(new Member("b")))
+                        .setGroupMembersView(members())
+                        .setQuerySequenceNumber(3)
+                        .setFlowControlSequenceNumber(2)
+                        .build(),
+                MODEL.createInstallSnapshotResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setSnapshotIndex(5)
+                        .setRequestedSnapshotChunkIndex(1)
+                        .setQuerySequenceNumber(3)
+                        .setFlowControlSequenceNumber(2)
+                        .build());
     }
 
     private static List<RaftMessage> preVoteMessages() {
         return List.of(
-            MODEL.createPreVoteRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setLastLogTerm(6).setLastLogIndex(5).build(),
-            MODEL.createPreVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setGranted(true).build());
+                MODEL.createPreVoteRequestBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setLastLogTerm(6)
+                        .setLastLogIndex(5)
+                        .build(),
+                MODEL.createPreVoteResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setGranted(true)
+                        .build());
     }
 
     private static List<RaftMessage> voteMessages() {
         return List.of(
-            MODEL.createVoteRequestBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setLastLogTerm(6).setLastLogIndex(5).setSticky(true).build(),
-            MODEL.createVoteResponseBuilder().setGroupId("g").setSender(A).setTerm(7)
-                .setGranted(true).build(),
-            MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId("g").setSender(A)
-                .setTerm(7).setLastLogTerm(6).setLastLogIndex(5).build());
+                MODEL.createVoteRequestBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setLastLogTerm(6)
+                        .setLastLogIndex(5)
+                        .setSticky(true)
+                        .build(),
+                MODEL.createVoteResponseBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setGranted(true)
+                        .build(),
+                MODEL.createTriggerLeaderElectionRequestBuilder()
+                        .setGroupId("g")
+                        .setSender(A)
+                        .setTerm(7)
+                        .setLastLogTerm(6)
+                        .setLastLogIndex(5)
+                        .build());
     }
 
     @Test
@@ -196,17 +284,28 @@
             RaftMessage back = codec.message(codec.bytes(message));
             assertEquals(message.getClass(), back.getClass());
             assertArrayEquals(codec.bytes(message), codec.bytes(back));
-            assertEquals(message.toString().replaceAll("\\[B@\\w+", ""),
-                back.toString().replaceAll("\\[B@\\w+", ""));
+            assertEquals(
+                    message.toString().replaceAll("\\[B@\\w+", ""),
+                    back.toString().replaceAll("\\[B@\\w+", ""));
         }
     }
 
-    /** Whatever a peer sends: a message, or an IOException that ends its link; never another fault. */
+    /**
+     * Whatever a peer sends: a message, or an IOException that ends its link; never another fault.
+     */
     @Property(tries = 2_000)
     void bytesThatAreNoMessageAreRefused(@ForAll byte[] noise, @ForAll long seed) {
         RaftCodec codec = new RaftCodec("g");
-        byte[] sound = codec.bytes(MODEL.createVoteRequestBuilder().setGroupId("g").setSender(A)
-            .setTerm(7).setLastLogTerm(6).setLastLogIndex(5).setSticky(true).build());
+        byte[] sound =
+                codec.bytes(
+                        MODEL.createVoteRequestBuilder()
+                                .setGroupId("g")
+                                .setSender(A)
+                                .setTerm(7)
+                                .setLastLogTerm(6)
+                                .setLastLogIndex(5)
+                                .setSticky(true)
+                                .build());
         java.util.Random drawn = new java.util.Random(seed);
         for (int i = 0; i < 3; i++) {
             sound[drawn.nextInt(sound.length)] = (byte) drawn.nextInt();
--- a/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
@@ -21,13 +21,16 @@
 class WindowsTest {
     private static final long MINUTE = 60_000;
     private static final long HOUR = 60 * MINUTE;
+
     /** Monday, 2 June 2025, 00:00 UTC. */
     private static final long MONDAY = 1_748_822_400_000L;
 
     private final Windows windows = new Windows();
 
     private static List<FleetPlan.Node> nodes(String region, int count) {
-        return IntStream.range(0, count).mapToObj(i -> new FleetPlan.Node(region + i, 100)).toList();
+        return IntStream.range(0, count)
+                .mapToObj(i -> new FleetPlan.Node(region + i, 100))
+                .toList();
     }
 
     private static FleetPlan.Region region(String name, List<FleetPlan.BlackOut> blackOuts) {
@@ -37,20 +40,39 @@
     /** Three regions of four nodes, 400 each; of 1,200 in all, this much must be there. */
     private static FleetPlan plan(long floor, int mostRegions, long spacing) {
         List<FleetPlan.Region> regions =
-            List.of(region("a", List.of()), region("b", List.of()), region("c", List.of()));
-        return new FleetPlan(MINUTE, Map.of(), regions,
-            List.of(new FleetPlan.Floor("all", List.of("a", "b", "c"), floor, List.of(), "Z")), mostRegions,
-            spacing, 310);
+                List.of(region("a", List.of()), region("b", List.of()), region("c", List.of()));
+        return new FleetPlan(
+                MINUTE,
+                Map.of(),
+                regions,
+                List.of(new FleetPlan.Floor("all", List.of("a", "b", "c"), floor, List.of(), "Z")),
+                mostRegions,
+                spacing,
+                310);
     }
 
     private static Wish wish(String region, int count, long earliest, long latest, int priority) {
-        return new Wish(region, IntStream.range(0, count).mapToObj(i -> region + i).toList(), 10 * MINUTE,
-            30 * MINUTE, 20 * MINUTE, earliest, latest, priority, false, false, List.of(), List.of(), "ops",
-            "upgrade");
+        return new Wish(
+                region,
+                IntStream.range(0, count).mapToObj(i -> region + i).toList(),
+                10 * MINUTE,
+                30 * MINUTE,
+                20 * MINUTE,
+                earliest,
+                latest,
+                priority,
+                false,
+                false,
+                List.of(),
+                List.of(),
+                "ops",
+                "upgrade");
     }
 
     private Window planned(Reply reply) {
-        return assertInstanceOf(WindowReplies.Planned.class, reply, String.valueOf(reply)).windows().get(0);
+        return assertInstanceOf(WindowReplies.Planned.class, reply, String.valueOf(reply))
+                .windows()
+                .get(0);
     }
 
     private Window now(Reply reply) {
@@ -69,12 +91,17 @@
     void secondOfTwoThatWouldBreachTheFloorTogetherComesAfterTheFirst() {
         windows.set(plan(900, 3, 0), MONDAY);
         Window first = planned(windows.propose(wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 0), MONDAY));
-        Window second = planned(windows.propose(wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0), MONDAY));
+        Window second =
+                planned(windows.propose(wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0), MONDAY));
         assertEquals(MONDAY, first.start());
         assertTrue(second.start() >= MONDAY + 40 * MINUTE, "until the first warms 200 are missing");
-        assertTrue(second.start() < MONDAY + HOUR, "while it warms there is room before its very end");
+        assertTrue(
+                second.start() < MONDAY + HOUR, "while it warms there is room before its very end");
         assertInstanceOf(Refused.class, windows.begin(second.id(), MONDAY), "not before its time");
-        now(windows.begin(first.id(), MONDAY)); // it is planned to be warming by then, and has proven nothing
+        now(
+                windows.begin(
+                        first.id(),
+                        MONDAY)); // it is planned to be warming by then, and has proven nothing
         Refused gate = assertInstanceOf(Refused.class, windows.begin(second.id(), second.start()));
         assertEquals("not-now", gate.code(), gate.why());
     }
@@ -84,8 +111,22 @@
         windows.set(plan(0, 3, 0), MONDAY);
         Wish wish = wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 0);
         planned(windows.propose(wish, MONDAY));
-        Wish again = new Wish("a", List.of("a1", "a0"), 1, 2, 3, MONDAY, MONDAY + HOUR, 9, false, false,
-            List.of(), List.of(), "somebody else", "upgrade");
+        Wish again =
+                new Wish(
+                        "a",
+                        List.of("a1", "a0"),
+                        1,
+                        2,
+                        3,
+                        MONDAY,
+                        MONDAY + HOUR,
+                        9,
+                        false,
+                        false,
+                        List.of(),
+                        List.of(),
+                        "somebody else",
+                        "upgrade");
         assertTrue(((WindowReplies.Planned) windows.propose(again, MONDAY)).known());
         assertEquals(1, windows.all().size());
     }
@@ -94,7 +135,8 @@
     void vanishedAgentHoldsTheCapacityUntilItsReturnIsProven() {
         windows.set(plan(900, 3, 0), MONDAY);
         Window first = planned(windows.propose(wish("a", 3, MONDAY, MONDAY + 9 * HOUR, 0), MONDAY));
-        Window second = planned(windows.propose(wish("b", 1, MONDAY, MONDAY + 90 * HOUR, 0), MONDAY));
+        Window second =
+                planned(windows.propose(wish("b", 1, MONDAY, MONDAY + 90 * HOUR, 0), MONDAY));
         now(windows.begin(first.id(), MONDAY));
         long late = MONDAY + 5 * HOUR; // nothing was heard of it since
         windows.advance(late);
@@ -105,10 +147,14 @@
         now(windows.report(first.id(), Step.WARMING, 0, late));
         now(windows.report(first.id(), Step.PROVEN, 200, late));
         assertEquals(100, windows.levels(late, late + 1, 1, late).get(0).missing());
-        assertInstanceOf(Refused.class, windows.report(first.id(), Step.DONE, 0, late), "a third is missing");
+        assertInstanceOf(
+                Refused.class,
+                windows.report(first.id(), Step.DONE, 0, late),
+                "a third is missing");
         now(windows.report(first.id(), Step.PROVEN, 300, late));
         now(windows.report(first.id(), Step.DONE, 0, late));
-        assertEquals(State.PLANNED, windows.find(second.id()).state(), "it is planned anew by itself");
+        assertEquals(
+                State.PLANNED, windows.find(second.id()).state(), "it is planned anew by itself");
     }
 
     @Test
@@ -117,13 +163,17 @@
         Window low = planned(windows.propose(wish("a", 2, MONDAY, MONDAY + 99 * HOUR, 1), MONDAY));
         Window high = planned(windows.propose(wish("b", 2, MONDAY, MONDAY + 99 * HOUR, 5), MONDAY));
         Window later =
-            planned(windows.propose(wish("c", 1, MONDAY + 2 * HOUR, MONDAY + 99 * HOUR, 1), MONDAY));
+                planned(
+                        windows.propose(
+                                wish("c", 1, MONDAY + 2 * HOUR, MONDAY + 99 * HOUR, 1), MONDAY));
         now(windows.begin(low.id(), MONDAY));
         now(windows.begin(high.id(), MONDAY));
         windows.outage("c", 200, MONDAY + MINUTE);
         assertEquals(State.RETURNING, windows.find(low.id()).state());
-        assertEquals(State.DRAINING, windows.find(high.id()).state(), "of the two it is wanted more");
-        assertEquals(State.PUT_OFF, windows.find(later.id()).state(), "with one returning nothing fits");
+        assertEquals(
+                State.DRAINING, windows.find(high.id()).state(), "of the two it is wanted more");
+        assertEquals(
+                State.PUT_OFF, windows.find(later.id()).state(), "with one returning nothing fits");
         now(windows.report(low.id(), Step.PROVEN, 200, MONDAY + 5 * MINUTE));
         now(windows.report(low.id(), Step.DONE, 0, MONDAY + 5 * MINUTE));
         windows.outage("c", 0, MONDAY + 6 * MINUTE);
@@ -138,9 +188,11 @@
         now(windows.begin(first.id(), MONDAY));
         assertEquals(State.RETURNING, now(windows.withdraw(first.id(), "ops", MONDAY + 1)).state());
         Wish other = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
-        assertInstanceOf(Refused.class, windows.propose(other, MONDAY + 2), "nobody knows when it is back");
+        assertInstanceOf(
+                Refused.class, windows.propose(other, MONDAY + 2), "nobody knows when it is back");
         now(windows.report(first.id(), Step.PROVEN, 200, MONDAY + 3));
-        assertEquals(State.WITHDRAWN, now(windows.report(first.id(), Step.DONE, 0, MONDAY + 4)).state());
+        assertEquals(
+                State.WITHDRAWN, now(windows.report(first.id(), Step.DONE, 0, MONDAY + 4)).state());
         planned(windows.propose(other, MONDAY + 5));
     }
 
@@ -148,8 +200,10 @@
     void refusalSaysWhichFloorByHowMuchAndWhenItWouldDo() {
         windows.set(plan(1_000, 3, 0), MONDAY);
         planned(windows.propose(wish("a", 2, MONDAY, MONDAY + HOUR, 0), MONDAY));
-        Refused no = assertInstanceOf(Refused.class,
-            windows.propose(wish("b", 2, MONDAY, MONDAY + 80 * MINUTE, 0), MONDAY));
+        Refused no =
+                assertInstanceOf(
+                        Refused.class,
+                        windows.propose(wish("b", 2, MONDAY, MONDAY + 80 * MINUTE, 0), MONDAY));
         assertTrue(no.why().startsWith("floor all would be short by "), no.why());
         assertTrue(no.why().contains("would do from " + (MONDAY + no.retryMs())), no.why());
         assertEquals(1, windows.all().size(), "a refused wish leaves nothing");
@@ -160,20 +214,67 @@
         windows.set(plan(1_000, 3, 0), MONDAY);
         Window usual = planned(windows.propose(wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 9), MONDAY));
         Wish wish = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
-        Window first = planned(windows.propose(new Wish("b", wish.nodes(), 10 * MINUTE, 30 * MINUTE,
-            20 * MINUTE, MONDAY, MONDAY + 9 * HOUR, 0, true, false, List.of(), List.of(), "ops",
-            "burning"), MONDAY));
+        Window first =
+                planned(
+                        windows.propose(
+                                new Wish(
+                                        "b",
+                                        wish.nodes(),
+                                        10 * MINUTE,
+                                        30 * MINUTE,
+                                        20 * MINUTE,
+                                        MONDAY,
+                                        MONDAY + 9 * HOUR,
+                                        0,
+                                        true,
+                                        false,
+                                        List.of(),
+                                        List.of(),
+                                        "ops",
+                                        "burning"),
+                                MONDAY));
         assertEquals(MONDAY, first.start());
         assertTrue(windows.find(usual.id()).why().startsWith("moved from " + usual.start()));
-        assertInstanceOf(Refused.class, windows.propose(new Wish("c", List.of("c0", "c1", "c2"), 0, HOUR, 0,
-            MONDAY, MONDAY + 9 * HOUR, 0, true, false, List.of(), List.of(), "ops", "burning"), MONDAY));
+        assertInstanceOf(
+                Refused.class,
+                windows.propose(
+                        new Wish(
+                                "c",
+                                List.of("c0", "c1", "c2"),
+                                0,
+                                HOUR,
+                                0,
+                                MONDAY,
+                                MONDAY + 9 * HOUR,
+                                0,
+                                true,
+                                false,
+                                List.of(),
+                                List.of(),
+                                "ops",
+                                "burning"),
+                        MONDAY));
     }
 
     @Test
     void wishThatMayBeSplitGoesInParts() {
         windows.set(plan(1_000, 3, 0), MONDAY);
-        Wish whole = new Wish("a", List.of("a0", "a1", "a2", "a3"), 0, HOUR, 0, MONDAY, MONDAY + 9 * HOUR, 0,
-            false, true, List.of(), List.of(), "ops", "upgrade");
+        Wish whole =
+                new Wish(
+                        "a",
+                        List.of("a0", "a1", "a2", "a3"),
+                        0,
+                        HOUR,
+                        0,
+                        MONDAY,
+                        MONDAY + 9 * HOUR,
+                        0,
+                        false,
+                        true,
+                        List.of(),
+                        List.of(),
+                        "ops",
+                        "upgrade");
         List<Window> parts = ((WindowReplies.Planned) windows.propose(whole, MONDAY)).windows();
         assertEquals(2, parts.size());
         assertEquals(parts.get(0).plannedEnd(), parts.get(1).start());
@@ -182,28 +283,72 @@
     @Test
     void orderRestAndNeverTogetherAreKept() {
         windows.set(plan(0, 1, 30 * MINUTE), MONDAY);
-        Window first = planned(windows.propose(wish("a", 1, MONDAY, MONDAY + 99 * HOUR, 0), MONDAY));
-        Wish second = new Wish("a", List.of("a1"), 0, HOUR, 0, MONDAY, MONDAY + 99 * HOUR, 0, false, false,
-            List.of(first.id()), List.of(), "ops", "later");
+        Window first =
+                planned(windows.propose(wish("a", 1, MONDAY, MONDAY + 99 * HOUR, 0), MONDAY));
+        Wish second =
+                new Wish(
+                        "a",
+                        List.of("a1"),
+                        0,
+                        HOUR,
+                        0,
+                        MONDAY,
+                        MONDAY + 99 * HOUR,
+                        0,
+                        false,
+                        false,
+                        List.of(first.id()),
+                        List.of(),
+                        "ops",
+                        "later");
         Window after = planned(windows.propose(second, MONDAY));
-        assertTrue(after.start() >= first.plannedEnd() + 30 * MINUTE, "the region rests in between");
-        Window other = planned(windows.propose(wish("b", 1, MONDAY, MONDAY + 99 * HOUR, 0), MONDAY));
-        assertTrue(other.start() >= first.plannedEnd() && other.plannedEnd() <= after.start()
-            || other.start() >= after.plannedEnd(), "one region at a time");
-        assertInstanceOf(Refused.class, windows.begin(after.id(), after.start()), "the first was never done");
+        assertTrue(
+                after.start() >= first.plannedEnd() + 30 * MINUTE, "the region rests in between");
+        Window other =
+                planned(windows.propose(wish("b", 1, MONDAY, MONDAY + 99 * HOUR, 0), MONDAY));
+        assertTrue(
+                other.start() >= first.plannedEnd() && other.plannedEnd() <= after.start()
+                        || other.start() >= after.plannedEnd(),
+                "one region at a time");
+        assertInstanceOf(
+                Refused.class,
+                windows.begin(after.id(), after.start()),
+                "the first was never done");
     }
 
     @Test
     void blackOutFollowsLocalTimeOverAChangeOfTheClocks() {
         long change = MONDAY + 6 * 24 * HOUR + HOUR; // Sunday 01:00 UTC: from +1 h to +2 h
-        FleetPlan plan = new FleetPlan(MINUTE,
-            Map.of("Z", List.of(new FleetPlan.Shift(0, HOUR), new FleetPlan.Shift(change, 2 * HOUR))),
-            List.of(region("a", List.of(new FleetPlan.BlackOut(List.of(6, 7, 1), 22 * 60, 6 * 60)))),
-            List.of(), 1, 0, 310);
+        FleetPlan plan =
+                new FleetPlan(
+                        MINUTE,
+                        Map.of(
+                                "Z",
+                                List.of(
+                                        new FleetPlan.Shift(0, HOUR),
+                                        new FleetPlan.Shift(change, 2 * HOUR))),
+                        List.of(
+                                region(
+                                        "a",
+                                        List.of(
+                                                new FleetPlan.BlackOut(
+                                                        List.of(6, 7, 1), 22 * 60, 6 * 60)))),
+                        List.of(),
+                        1,
+                        0,
+                        310);
         windows.set(plan, MONDAY);
         long saturday = MONDAY + 5 * 24 * HOUR; // closed from 22:00 there, which is 21:00 UTC
-        Window night = planned(windows.propose(
-            wish("a", 1, saturday + 20 * HOUR + MINUTE, saturday + 48 * HOUR, 0), MONDAY));
+        Window night =
+                planned(
+                        windows.propose(
+                                wish(
+                                        "a",
+                                        1,
+                                        saturday + 20 * HOUR + MINUTE,
+                                        saturday + 48 * HOUR,
+                                        0),
+                                MONDAY));
         assertEquals(saturday + 28 * HOUR, night.start(), "6:00 there comes at 4:00 UTC by now");
     }
 
@@ -220,8 +365,15 @@
         Window out = now(windows.report(one.id(), Step.OUT, 0, MONDAY + 9));
         assertEquals(MONDAY, out.since());
         Image.same(windows);
-        assertEquals(State.DONE, through(planned(windows.propose(wish("b", 1, MONDAY, MONDAY + 9 * HOUR, 0),
-            MONDAY)), MONDAY).state());
+        assertEquals(
+                State.DONE,
+                through(
+                                planned(
+                                        windows.propose(
+                                                wish("b", 1, MONDAY, MONDAY + 9 * HOUR, 0),
+                                                MONDAY)),
+                                MONDAY)
+                        .state());
     }
 
     /** A copy through an image is the same. */
@@ -238,10 +390,23 @@
         Window any = all.isEmpty() ? null : all.get(drawn.nextInt(all.size()));
         if (any == null || drawn.nextInt(5) == 0) {
             Wish wish = wish(region, 1 + drawn.nextInt(3), now, now + 24 * HOUR, drawn.nextInt(4));
-            played.propose(new Wish(region, wish.nodes(), wish.drainMs(), wish.workMs(), wish.warmMs(),
-                now, wish.latest(), wish.priority(), drawn.nextInt(6) == 0, drawn.nextBoolean(),
-                List.of(),
-                drawn.nextInt(3) == 0 ? List.of("db") : List.of(), "ops", "p" + step), now);
+            played.propose(
+                    new Wish(
+                            region,
+                            wish.nodes(),
+                            wish.drainMs(),
+                            wish.workMs(),
+                            wish.warmMs(),
+                            now,
+                            wish.latest(),
+                            wish.priority(),
+                            drawn.nextInt(6) == 0,
+                            drawn.nextBoolean(),
+                            List.of(),
+                            drawn.nextInt(3) == 0 ? List.of("db") : List.of(),
+                            "ops",
+                            "p" + step),
+                    now);
             return;
         }
         switch (drawn.nextInt(8)) {
@@ -253,7 +418,9 @@
         }
     }
 
-    /** Whatever is proposed, begun, reported, withdrawn, in whatever order: no floor is ever short. */
+    /**
+     * Whatever is proposed, begun, reported, withdrawn, in whatever order: no floor is ever short.
+     */
     @Property(tries = 60)
     void noFloorIsEverShortByWhatWasAllowed(@ForAll long seed) {
         Random drawn = new Random(seed);
