--- a/coordinator/src/test/java/saltstage/coordinator/lease/LeasesTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/lease/LeasesTest.java
@@ -40,7 +40,8 @@
         long second = fence(ask("b", 0, false, 1_000));
         assertTrue(second > first);
         assertFalse(leases.renew(new Renew("a", Map.of("x", first)), 1_001).lost().isEmpty());
-        assertFalse(leases.release(new Release("x", "a", first), 1_002), "an old fence frees nothing");
+        assertFalse(
+                leases.release(new Release("x", "a", first), 1_002), "an old fence frees nothing");
         assertTrue(leases.holds("x", "b", second, 1_003));
     }
 
@@ -60,7 +61,10 @@
         ask("low", 0, true, 900);
         assertEquals(1, ((Held) ask("low", 0, true, 990)).ahead());
         ask("low2", 0, true, 990);
-        assertInstanceOf(Held.class, ask("low", 0, true, 1_000), "it is kept for the one of higher priority");
+        assertInstanceOf(
+                Held.class,
+                ask("low", 0, true, 1_000),
+                "it is kept for the one of higher priority");
         long fence = fence(ask("high", 5, true, 1_001));
         leases.release(new Release("x", "high", fence), 1_002);
         assertInstanceOf(Held.class, ask("low2", 0, true, 1_003));
@@ -88,7 +92,8 @@
     @Test
     void whatIsNoNameOrSpanIsRefusedAndChangesNothing() {
         for (String name : new String[] {null, "", "a b", "x".repeat(201), "\u00e9"}) {
-            assertInstanceOf(Refused.class, leases.acquire(new Acquire(name, "a", 1_000, 0, false), 0));
+            assertInstanceOf(
+                    Refused.class, leases.acquire(new Acquire(name, "a", 1_000, 0, false), 0));
         }
         for (long ttl : new long[] {0, -1, 499, 3_600_001, Long.MAX_VALUE}) {
             assertInstanceOf(Refused.class, leases.acquire(new Acquire("x", "a", ttl, 0, true), 0));
@@ -106,52 +111,74 @@
     }
 
     /**
-     * Against a plain model: whoever was granted holds until its time is over or it gives up, nobody else is
-     * granted meanwhile, fences only grow, and a copy through an image goes on the same way.
+     * Against a plain model: whoever was granted holds until its time is over or it gives up,
+     * nobody else is granted meanwhile, fences only grow, and a copy through an image goes on the
+     * same way.
      */
     @Property(tries = 300)
     void grantsNeverOverlapWhateverHappens(@ForAll long seed) {
-        Random drawn = new Random(seed);
-        Leases played = new Leases();
-        Map<String, Long> until = new HashMap<>();
-        Map<String, String> holder = new HashMap<>();
-        Map<String, Long> fences = new HashMap<>();
-        long last = 0;
-        for (long now = 0; now < 40_000; now += drawn.nextInt(400)) {
-            String name = "n" + drawn.nextInt(2);
-            String owner = "o" + drawn.nextInt(4);
+        LeaseModel model = new LeaseModel(new Random(seed));
+        for (long now = 0; now < 40_000; now += model.random.nextInt(400)) {
+            model.step(now);
+        }
+    }
+
+    /** The plain model, and the leases that it is compared with after each step. */
+    private static final class LeaseModel {
+        private final Random random;
+        private final Map<String, Long> until = new HashMap<>();
+        private final Map<String, String> holder = new HashMap<>();
+        private final Map<String, Long> fences = new HashMap<>();
+        private Leases played = new Leases();
+        private long last;
+
+        private LeaseModel(Random random) {
+            this.random = random;
+        }
+
+        private void step(long now) {
+            String name = "n" + random.nextInt(2);
+            String owner = "o" + random.nextInt(4);
             if (until.getOrDefault(name, 0L) <= now) {
                 holder.remove(name);
             }
-            switch (drawn.nextInt(4)) {
-                case 0, 1 -> {
-                    long ttl = 500 + drawn.nextInt(1_000);
-                    if (played.acquire(new Acquire(name, owner, ttl, drawn.nextInt(3), drawn.nextBoolean()),
-                            now) instanceof Granted granted) {
-                        boolean again = owner.equals(holder.get(name));
-                        assertTrue(again || holder.get(name) == null, "granted to a second holder");
-                        assertTrue(again ? granted.fence() == fences.get(name) : granted.fence() > last);
-                        last = Math.max(last, granted.fence());
-                        until.merge(name, now + ttl, again ? Math::max : (old, made) -> made);
-                        holder.put(name, owner);
-                        fences.put(name, granted.fence());
-                    }
-                }
-                case 2 -> {
-                    long fence = drawn.nextBoolean() ? fences.getOrDefault(name, 1L) : drawn.nextInt(5);
-                    played.release(new Release(name, owner, fence), now);
-                    if (owner.equals(holder.get(name)) && fence == fences.get(name)) {
-                        holder.remove(name);
-                    }
-                }
-                default -> {
-                    Leases.Image image = played.image();
-                    played = new Leases(image);
-                    assertEquals(image, played.image());
-                }
+            switch (random.nextInt(4)) {
+                case 0, 1 -> acquire(name, owner, now);
+                case 2 -> release(name, owner, now);
+                default -> copy();
             }
             String holds = holder.get(name);
-            assertEquals(holds != null, holds != null && played.holds(name, holds, fences.get(name), now));
+            assertEquals(
+                    holds != null,
+                    holds != null && played.holds(name, holds, fences.get(name), now));
+        }
+
+        private void acquire(String name, String owner, long now) {
+            long ttl = 500 + random.nextInt(1_000);
+            Acquire ask = new Acquire(name, owner, ttl, random.nextInt(3), random.nextBoolean());
+            if (played.acquire(ask, now) instanceof Granted granted) {
+                boolean again = owner.equals(holder.get(name));
+                assertTrue(again || holder.get(name) == null, "granted to a second holder");
+                assertTrue(again ? granted.fence() == fences.get(name) : granted.fence() > last);
+                last = Math.max(last, granted.fence());
+                until.merge(name, now + ttl, again ? Math::max : (old, made) -> made);
+                holder.put(name, owner);
+                fences.put(name, granted.fence());
+            }
+        }
+
+        private void release(String name, String owner, long now) {
+            long fence = random.nextBoolean() ? fences.getOrDefault(name, 1L) : random.nextInt(5);
+            played.release(new Release(name, owner, fence), now);
+            if (owner.equals(holder.get(name)) && fence == fences.get(name)) {
+                holder.remove(name);
+            }
+        }
+
+        private void copy() {
+            Leases.Image image = played.image();
+            played = new Leases(image);
+            assertEquals(image, played.image());
         }
     }
 
