Subscription: ask discovery again after a superseded call answered late

A first call is passed over and a second begins (`newest`); the first answers after all and `tells` ends the second through `end()`, which took it out of `calls` but left `newest` pointing at it. `ended` and `unanswered` return early for a call that is not in `calls`, so nothing cleared it, and every later `ask()` returned at once. Ruled out: the client (the watch did end, by its read limit) and the pause (the ask came and was ignored).

Change: `end()` forgets the call as the newest one as well.

Result: watchThatFallsSilentAfterALateAnswerIsFollowedByANewCall failed before the change (no further connection within 30 s); SubscriptionTest with the change: 8 run, 0 failures, 0 errors.

--- a/relay/src/main/java/saltstage/lifecycle/Subscription.java
+++ b/relay/src/main/java/saltstage/lifecycle/Subscription.java
@@ -101,6 +101,7 @@
 
     private void end(Call call) {
         calls.remove(call);
+        newest = newest == call ? null : newest; // an ended call must not keep later ones from being made
         call.client.stop();
     }
 
--- a/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
+++ b/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
@@ -146,6 +146,19 @@
         assertEquals(6, next());
     }
 
+    @Test
+    void watchThatFallsSilentAfterALateAnswerIsFollowedByANewCall() throws Exception {
+        subscription.ask();
+        Call late = new Call(service);
+        Call beside = new Call(service);
+        late.tells(5);
+        assertEquals(5, next());
+        beside.isGivenUp();
+        late.socket.close();
+        new Call(service).tells(6);
+        assertEquals(6, next(), "discovery is asked again when the watch ends");
+    }
+
     @Test
     void listThatIsOlderThanTheOneHeldIsNotTaken() throws Exception {
         subscription.ask();
