Subscription: decide about calls to discovery in a state machine without threads

Change: DiscoveryCalls holds the calls and the phase of each (awaited, superseded, watching) as an immutable value; events return the next state and the effects. There is no reference beside the list of calls any more: that a call is awaited or a watch is open is read from the phases. Subscription keeps the lock, the threads, the timers and the pauses, which are unchanged. `heard`, `tells` and `passedOver` are now `listener`, `listArrived` and `superseded`; one test is renamed with them, no assertion changed.

--- a/relay/src/main/java/saltstage/lifecycle/Subscription.java
+++ b/relay/src/main/java/saltstage/lifecycle/Subscription.java
@@ -3,10 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
+import saltstage.lifecycle.DiscoveryCalls.Effect;
+import saltstage.lifecycle.DiscoveryCalls.Step;
 import saltstage.log.Log;
 import saltstage.memory.Timers;
 import saltstage.stage.Threads;
@@ -18,7 +21,10 @@
  * The relay's one subscription to discovery. A call that is not answered is not hung up on: where the service
  * works through calls in turn, it would be the last again, and the list would never come. It is not waited
  * for alone either: it may hang at a machine that is gone while the service could be reached. So another call
- * is made beside it; the first that tells something is the watch, and all others end.
+ * is made beside it; the first that delivers a list is the watch, and all others end.
+ *
+ * <p>What happens to which call is decided by {@link DiscoveryCalls}, which states what is guaranteed; this
+ * class has the lock, the threads and the timers.
  */
 final class Subscription {
     /** A change counts as told after 6 s: this, the module's longest pause (3 s) and an answer fit in. */
@@ -26,139 +32,114 @@
     /** An agent on the relay's machine answers at once, at no cost; what it has counts as told at once. */
     private static final Duration AGENT_UNANSWERED = Duration.ofMillis(500);
     private static final Duration AGENT_PAUSE = Duration.ofMillis(100);
-    /** Each has a thread and a descriptor; where the service is asked the oldest has had over 6 s by then. */
-    private static final int MOST_CALLS = 4;
 
     private final Timers timers;
-    private final LongSupplier rev;
-    private final Consumer<HostList> heard;
+    private final LongSupplier heldRevision;
+    private final Consumer<HostList> listener;
     private final Runnable refused;
     private final boolean pushed;
-    private final Set<Call> calls = new LinkedHashSet<>(); // the oldest first
+    private final Map<Long, DiscoveryClient> clients = new HashMap<>();
     private InetSocketAddress address;
-    private Call newest;
-    private Call watch;
-
-    /** One call; unanswered for a while, it no longer keeps another from being made. */
-    private static final class Call {
-        final DiscoveryClient client;
-        boolean passedOver;
-
-        Call(DiscoveryClient client) {
-            this.client = client;
-        }
-    }
+    private DiscoveryCalls calls = DiscoveryCalls.none();
 
     /**
-     * A subscription at this address, resumed after the version that rev says. Refused is told when a call
-     * has failed; where lists are pushed it is not, as the agent is asked again by itself.
+     * A subscription that has not asked yet.
+     *
+     * @param address where discovery is
+     * @param pushed whether lists are pushed by an agent: it is asked again from here after a failed call
+     * @param timers when something is due later
+     * @param heldRevision the version of the list held, after which a call resumes
+     * @param listener takes the lists, one at a time, none of them older than the one held
+     * @param refused told of each failed call where lists are not pushed; it sees to {@link #ask}
      */
-    Subscription(InetSocketAddress address, boolean pushed, Timers timers, LongSupplier rev,
-            Consumer<HostList> heard, Runnable refused) {
+    Subscription(InetSocketAddress address, boolean pushed, Timers timers, LongSupplier heldRevision,
+            Consumer<HostList> listener, Runnable refused) {
         this.address = address;
         this.pushed = pushed;
         this.timers = timers;
-        this.rev = rev;
-        this.heard = heard;
+        this.heldRevision = heldRevision;
+        this.listener = listener;
         this.refused = refused;
     }
 
-    /** Asks, unless a watch is open or a call has just begun; never blocks. */
-    synchronized void ask() {
-        if (watch != null || newest != null && !newest.passedOver) {
-            return;
-        }
-        if (calls.size() >= MOST_CALLS) {
-            end(calls.iterator().next());
-        }
-        Call call = new Call(new DiscoveryClient(address));
-        calls.add(call);
-        newest = call;
-        if (!Threads.start("discovery", () -> run(call))) {
-            calls.remove(call);
-            newest = null;
-            timers.after(UNANSWERED, this::ask);
-            return;
-        }
-        timers.after(pushed ? AGENT_UNANSWERED : UNANSWERED, () -> unanswered(call));
+    /** Asks, unless a watch is open or a call is awaited; never blocks. */
+    void ask() {
+        handle(DiscoveryCalls::ask);
     }
 
-    /** Discovery is elsewhere from now on: what the old address still has to say is not heard any more. */
+    /** Discovery is elsewhere from now on: nothing from the old address is delivered after the return. */
     synchronized void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
         address = to;
-        Set.copyOf(calls).forEach(this::end);
-        newest = null;
-        watch = null;
-        ask();
+        handle(DiscoveryCalls::addressChanged);
     }
 
     synchronized InetSocketAddress address() {
         return address;
     }
 
-    private void end(Call call) {
-        calls.remove(call);
-        newest = newest == call ? null : newest; // an ended call must not keep later ones from being made
-        call.client.stop();
+    /** Takes an event in; a loss is reported without the lock, as the listener of it takes its own. */
+    private void handle(Function<DiscoveryCalls, Step> event) {
+        Step step;
+        synchronized (this) {
+            step = event.apply(calls);
+            calls = step.next();
+            step.effects().forEach(this::perform);
+        }
+        step.lossReason().ifPresent(this::reportLost);
     }
 
-    private void run(Call call) {
-        String why = "fault";
-        try {
-            call.client.watch(rev.getAsLong(), list -> tells(call, list));
-        } catch (IOException | MalformedException e) {
-            why = String.valueOf(e.getMessage());
-        } finally {
-            ended(call, why);
+    private void perform(Effect effect) {
+        if (effect instanceof Effect.StartCall start) {
+            start(start.id());
+        } else if (effect instanceof Effect.EndCall end) {
+            clients.remove(end.id()).stop();
+        } else if (effect instanceof Effect.DeliverList deliver) {
+            listener.accept(deliver.list());
+        } else if (effect instanceof Effect.DropOldList drop) {
+            Log.warn("discovery.old", "rev", drop.list().rev(), "held", heldRevision.getAsLong());
+        } else {
+            timers.after(UNANSWERED, this::ask);
         }
     }
 
-    /** Whatever order answers come in, the list held is never replaced by an older one. */
-    private synchronized void tells(Call call, HostList list) {
-        if (!calls.contains(call)) {
-            return; // ended, by a reload or by a call that was faster
-        }
-        if (watch != call) {
-            watch = call;
-            Set.copyOf(calls).stream().filter(other -> other != call).forEach(this::end);
-        }
-        if (list.rev() < rev.getAsLong()) {
-            Log.warn("discovery.old", "rev", list.rev(), "held", rev.getAsLong());
+    private void start(long id) {
+        DiscoveryClient client = new DiscoveryClient(address);
+        clients.put(id, client);
+        if (!Threads.start("discovery", () -> run(id, client))) {
+            clients.remove(id);
+            handle(calls -> calls.startFailed(id));
             return;
         }
-        heard.accept(list);
+        timers.after(pushed ? AGENT_UNANSWERED : UNANSWERED, () -> handle(calls -> calls.answerTimedOut(id)));
     }
 
-    private void unanswered(Call call) {
-        synchronized (this) {
-            if (!calls.contains(call) || watch == call) {
-                return;
-            }
-            call.passedOver = true;
+    private void run(long id, DiscoveryClient client) {
+        String why = "fault";
+        try {
+            client.watch(heldRevision.getAsLong(), list -> arrived(id, list));
+        } catch (IOException | MalformedException e) {
+            why = String.valueOf(e.getMessage());
+        } finally {
+            ended(id, why);
         }
-        lost("no answer yet");
     }
 
-    private void ended(Call call, String why) {
-        synchronized (this) {
-            if (!calls.remove(call)) {
-                return; // ended from here
-            }
-            boolean mattered = watch == call || watch == null && !call.passedOver;
-            watch = watch == call ? null : watch;
-            newest = newest == call ? null : newest;
-            if (!mattered) {
-                return;
-            }
-        }
-        lost(why);
+    private void arrived(long id, HostList list) {
+        handle(calls -> calls.listArrived(id, list, heldRevision.getAsLong()));
+    }
+
+    private void ended(long id, String why) {
+        handle(calls -> {
+            clients.remove(id);
+            return calls.callEnded(id, why);
+        });
     }
 
-    private void lost(String why) {
-        Log.warn("discovery.lost", "why", why, "rev", rev.getAsLong());
+    private void reportLost(String why) {
+        Log.warn("discovery.lost", "why", why, "rev", heldRevision.getAsLong());
         if (pushed) {
             timers.after(AGENT_PAUSE, this::ask);
         } else {
--- a/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
+++ b/relay/src/test/java/saltstage/lifecycle/SubscriptionTest.java
@@ -35,7 +35,7 @@
 class SubscriptionTest {
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final Timers timers = new Timers(new MonotonicClock());
-    private final BlockingQueue<Long> heard = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> delivered = new LinkedBlockingQueue<>();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicLong rev = new AtomicLong(4);
     private ServerSocket service;
@@ -77,7 +77,7 @@
 
     private void take(HostList list) {
         rev.set(list.rev());
-        heard.add(list.rev());
+        delivered.add(list.rev());
     }
 
     /** A call as the service sees it. */
@@ -118,20 +118,20 @@
     }
 
     private long next() throws InterruptedException {
-        Long version = heard.poll(30, TimeUnit.SECONDS);
-        assertTrue(version != null, "nothing was heard");
+        Long version = delivered.poll(30, TimeUnit.SECONDS);
+        assertTrue(version != null, "no list was delivered");
         return version;
     }
 
     @Test
-    void callThatHangsIsPassedOverAndEndsWhenAnotherIsAnswered() throws Exception {
+    void callThatHangsIsSupersededAndEndsWhenAnotherIsAnswered() throws Exception {
         subscription.ask();
         Call hangs = new Call(service);
         Call answered = new Call(service).tells(5);
         assertEquals(5, next());
         hangs.isGivenUp();
         assertEquals(6, answered.tells(6) == null ? 0 : next(), "the one that answered is the watch");
-        assertEquals(1, refused.get(), "a call that is passed over is told once");
+        assertEquals(1, refused.get(), "a superseded call is reported once");
     }
 
     @Test
