--- /dev/null
+++ b/relay/src/test/java/saltstage/lifecycle/DiscoveryRules.java
@@ -0,0 +1,77 @@
+package saltstage.lifecycle;
+
+import java.util.List;
+import java.util.function.LongFunction;
+import saltstage.lifecycle.DiscoveryCalls.Effect;
+import saltstage.wire.HostList;
+
+/** What {@link DiscoveryCallsExplorer} explores: the rules in force, or broken ones that it has to reject. */
+interface DiscoveryRules {
+    /** What an event leads to. */
+    record Outcome(DiscoveryRules next, List<Effect> effects, boolean lost) {
+    }
+
+    Outcome ask();
+
+    Outcome addressChanged();
+
+    Outcome startFailed(long id);
+
+    Outcome listArrived(long id, HostList list, long heldRevision);
+
+    Outcome answerTimedOut(long id);
+
+    Outcome callEnded(long id);
+
+    /** The state without the numbers of calls, by which two states are told apart. */
+    String shape(LongFunction<String> nameOfCall);
+
+    /** The rules in force. */
+    static DiscoveryRules inForce() {
+        return new InForce(DiscoveryCalls.none());
+    }
+
+    /** {@link DiscoveryCalls} as it is. */
+    record InForce(DiscoveryCalls calls) implements DiscoveryRules {
+        private static Outcome outcome(DiscoveryCalls.Step step) {
+            return new Outcome(new InForce(step.next()), step.effects(), step.lossReason().isPresent());
+        }
+
+        @Override
+        public Outcome ask() {
+            return outcome(calls.ask());
+        }
+
+        @Override
+        public Outcome addressChanged() {
+            return outcome(calls.addressChanged());
+        }
+
+        @Override
+        public Outcome startFailed(long id) {
+            return outcome(calls.startFailed(id));
+        }
+
+        @Override
+        public Outcome listArrived(long id, HostList list, long heldRevision) {
+            return outcome(calls.listArrived(id, list, heldRevision));
+        }
+
+        @Override
+        public Outcome answerTimedOut(long id) {
+            return outcome(calls.answerTimedOut(id));
+        }
+
+        @Override
+        public Outcome callEnded(long id) {
+            return outcome(calls.callEnded(id, "ended"));
+        }
+
+        @Override
+        public String shape(LongFunction<String> nameOfCall) {
+            StringBuilder shape = new StringBuilder();
+            calls.calls().forEach(call -> shape.append(nameOfCall.apply(call.id())).append(call.phase()));
+            return shape.toString();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/lifecycle/FormerDiscoveryRules.java
@@ -0,0 +1,125 @@
+package saltstage.lifecycle;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.LongFunction;
+import saltstage.lifecycle.DiscoveryCalls.Effect;
+import saltstage.wire.HostList;
+
+/**
+ * The bookkeeping as it was before the fault was mended: a reference to the newest call beside the set of
+ * calls. With {@code forgets}, ending a call forgets it as the newest one as well, which was the first mend.
+ */
+final class FormerDiscoveryRules implements DiscoveryRules {
+    private static final long NONE = 0;
+
+    private final boolean forgets;
+    private final Set<Long> calls = new TreeSet<>();
+    private final Set<Long> superseded = new TreeSet<>();
+    private long newest = NONE;
+    private long watch = NONE;
+    private long nextId = 1;
+
+    FormerDiscoveryRules(boolean forgets) {
+        this.forgets = forgets;
+    }
+
+    private FormerDiscoveryRules copy() {
+        FormerDiscoveryRules copy = new FormerDiscoveryRules(forgets);
+        copy.calls.addAll(calls);
+        copy.superseded.addAll(superseded);
+        copy.newest = newest;
+        copy.watch = watch;
+        copy.nextId = nextId;
+        return copy;
+    }
+
+    private void end(long id, List<Effect> effects) {
+        calls.remove(id);
+        newest = forgets && newest == id ? NONE : newest;
+        effects.add(new Effect.EndCall(id));
+    }
+
+    private void begin(List<Effect> effects) {
+        calls.add(nextId);
+        newest = nextId;
+        effects.add(new Effect.StartCall(nextId++));
+    }
+
+    @Override
+    public Outcome ask() {
+        FormerDiscoveryRules next = copy();
+        List<Effect> effects = new ArrayList<>();
+        if (watch == NONE && (newest == NONE || superseded.contains(newest))) {
+            if (calls.size() >= DiscoveryCalls.MOST_CALLS) {
+                next.end(calls.iterator().next(), effects);
+            }
+            next.begin(effects);
+        }
+        return new Outcome(next, effects, false);
+    }
+
+    @Override
+    public Outcome addressChanged() {
+        FormerDiscoveryRules next = copy();
+        List<Effect> effects = new ArrayList<>();
+        calls.forEach(id -> next.end(id, effects));
+        next.watch = NONE;
+        next.begin(effects);
+        return new Outcome(next, effects, false);
+    }
+
+    @Override
+    public Outcome startFailed(long id) {
+        FormerDiscoveryRules next = copy();
+        next.calls.remove(id);
+        next.newest = NONE;
+        return new Outcome(next, List.of(new Effect.AskLater()), false);
+    }
+
+    @Override
+    public Outcome listArrived(long id, HostList list, long heldRevision) {
+        FormerDiscoveryRules next = copy();
+        List<Effect> effects = new ArrayList<>();
+        if (calls.contains(id)) {
+            next.watch = id;
+            calls.stream().filter(other -> other != id).forEach(other -> next.end(other, effects));
+            boolean old = list.rev() < heldRevision;
+            effects.add(old ? new Effect.DropOldList(list) : new Effect.DeliverList(list));
+        }
+        return new Outcome(next, effects, false);
+    }
+
+    @Override
+    public Outcome answerTimedOut(long id) {
+        FormerDiscoveryRules next = copy();
+        boolean lost = calls.contains(id) && watch != id;
+        if (lost) {
+            next.superseded.add(id);
+        }
+        return new Outcome(next, List.of(), lost);
+    }
+
+    @Override
+    public Outcome callEnded(long id) {
+        FormerDiscoveryRules next = copy();
+        if (!next.calls.remove(id)) {
+            return new Outcome(next, List.of(), false);
+        }
+        next.watch = watch == id ? NONE : watch;
+        next.newest = newest == id ? NONE : newest;
+        return new Outcome(next, List.of(), watch == id || watch == NONE && !superseded.contains(id));
+    }
+
+    @Override
+    public String shape(LongFunction<String> nameOfCall) {
+        StringBuilder shape = new StringBuilder();
+        for (long id : calls) {
+            shape.append(nameOfCall.apply(id)).append(superseded.contains(id) ? "superseded" : "");
+        }
+        return shape + " newest=" + (newest == NONE ? "none" : nameOfCall.apply(newest)
+            + superseded.contains(newest)) + " watch=" + (watch == NONE ? "none" : nameOfCall.apply(watch));
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/lifecycle/PairedDiscoveryRules.java
@@ -0,0 +1,53 @@
+package saltstage.lifecycle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import saltstage.wire.HostList;
+
+/** Two sets of rules that must lead to the same effects at every event. */
+record PairedDiscoveryRules(DiscoveryRules first, DiscoveryRules second) implements DiscoveryRules {
+    private Outcome both(Function<DiscoveryRules, Outcome> event) {
+        Outcome one = event.apply(first);
+        Outcome other = event.apply(second);
+        assertEquals(one.effects(), other.effects());
+        assertEquals(one.lost(), other.lost());
+        return new Outcome(new PairedDiscoveryRules(one.next(), other.next()), one.effects(), one.lost());
+    }
+
+    @Override
+    public Outcome ask() {
+        return both(DiscoveryRules::ask);
+    }
+
+    @Override
+    public Outcome addressChanged() {
+        return both(DiscoveryRules::addressChanged);
+    }
+
+    @Override
+    public Outcome startFailed(long id) {
+        return both(rules -> rules.startFailed(id));
+    }
+
+    @Override
+    public Outcome listArrived(long id, HostList list, long heldRevision) {
+        return both(rules -> rules.listArrived(id, list, heldRevision));
+    }
+
+    @Override
+    public Outcome answerTimedOut(long id) {
+        return both(rules -> rules.answerTimedOut(id));
+    }
+
+    @Override
+    public Outcome callEnded(long id) {
+        return both(rules -> rules.callEnded(id));
+    }
+
+    @Override
+    public String shape(LongFunction<String> nameOfCall) {
+        return first.shape(nameOfCall) + second.shape(nameOfCall);
+    }
+}
