Probe: start a thread again for a backend whose thread could not start or has ended

Cause: `begin` kept the signal of a backend in `wanted` also where the machine had no thread for it, and `run` took it out only when the process was delisted, not when a fault ended the thread. Every later `ask` found the signal and released it to nobody: the load of that backend stayed unknown for as long as it was listed, and the entry of one that never had a thread stayed for good.

Change: nothing is kept where no thread could be had, and a thread that ends takes its entry along, however it ends; the next ask (each 1 to 3 s) tries again. Probe takes what starts threads, so that a test decides.

--- a/relay/src/main/java/saltstage/stage/Probe.java
+++ b/relay/src/main/java/saltstage/stage/Probe.java
@@ -24,46 +24,69 @@
     private static final long LOOK_S = 5; // for whether the process is still listed
 
     private final Peers peers;
+    private final ThreadStarter threads;
+    /** Of each backend that has a thread; whoever has none is not in here. */
     private final Map<Peer, Semaphore> wanted = new ConcurrentHashMap<>();
     private Route route;
 
+    /** Starts a thread, as {@link Threads#start} does. */
+    interface ThreadStarter {
+        /** False where the machine has no thread left. */
+        boolean start(String name, Threads.Work work);
+    }
+
     Probe(Peers peers) {
+        this(peers, Threads::start);
+    }
+
+    Probe(Peers peers, ThreadStarter threads) {
         this.peers = peers;
+        this.threads = threads;
     }
 
     void route(Route to) {
         route = to;
     }
 
-    /** Asks a backend soon; one that has not answered yet is not asked twice. */
+    /**
+     * Asks a backend soon; one that has not answered yet is not asked twice. Where no thread could be had for
+     * it, or its thread has ended by a fault, the next call tries to start one.
+     */
     void ask(String uid) {
         Peer peer = peers.find(uid);
-        if (peer != null) {
-            wanted.computeIfAbsent(peer, this::begin).release();
+        if (peer == null) {
+            return;
+        }
+        Semaphore asked = wanted.computeIfAbsent(peer, this::begin);
+        if (asked != null) {
+            asked.release();
         }
     }
 
+    /** The signal of the thread that was started; null where none could be had: nothing is kept then. */
     private Semaphore begin(Peer peer) {
         Semaphore asked = new Semaphore(0);
-        if (!Threads.start("probe", () -> run(peer, asked))) {
-            Log.warn("probe.none", "peer", peer.entry().uid()); // it counts as unknown, as without probes
+        if (threads.start("probe", () -> run(peer, asked))) {
+            return asked;
         }
-        return asked;
+        Log.warn("probe.none", "peer", peer.entry().uid()); // it counts as unknown, as without probes
+        return null;
     }
 
     private void run(Peer peer, Semaphore asked) throws InterruptedException {
         LineConnection line = null;
-        while (!peer.ended()) {
-            if (asked.tryAcquire(LOOK_S, TimeUnit.SECONDS)) {
-                asked.drainPermits();
-                if (!peer.suspended()) {
-                    line = probe(peer, line);
+        try {
+            while (!peer.ended()) {
+                if (asked.tryAcquire(LOOK_S, TimeUnit.SECONDS)) {
+                    asked.drainPermits();
+                    if (!peer.suspended()) {
+                        line = probe(peer, line);
+                    }
                 }
             }
-        }
-        wanted.remove(peer);
-        if (line != null) {
-            line.close();
+        } finally {
+            wanted.remove(peer);
+            close(line);
         }
     }
 
