PeerLinks: look an unreadable address up again instead of giving the link up

Cause: a link asks for its peer's address in `connect`, and what throws there ends that round on the loop before another is scheduled. `POST /v1/join` takes any text as an address, and `Replica.address` cuts it at its last colon: for "host" it throws. The link then stayed in `links`, so `keep` made no other, and nobody connected again, not even once the group had a right address.

Change: an address that cannot be read counts as one that is not known yet, is logged (`peer.address`) and looked up again after the usual pause. That join takes such a text is left as it is.

--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -262,7 +262,7 @@
             if (over || ended) {
                 return;
             }
-            InetSocketAddress at = addresses.apply(peer);
+            InetSocketAddress at = address();
             if (at == null) {
                 later();
             } else {
@@ -270,6 +270,16 @@
             }
         }
 
+        /** Null where it is not known, or not readable: the group may be told of another at any time. */
+        private InetSocketAddress address() {
+            try {
+                return addresses.apply(peer);
+            } catch (RuntimeException unreadable) {
+                Log.warn("peer.address", "peer", peer, "why", unreadable.getMessage());
+                return null;
+            }
+        }
+
         private void later() {
             long drawn = pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1);
             pause = Math.min(MOST_PAUSE_MS, pause * 2);
