GroupClient: turn to another replica after an answer of 400 or 404

Cause: `leader` is kept beside the list of replicas and cleared by silence, 421 and 503, but not by 400 and 404. Where the address that a leader had is taken over by something else that speaks HTTP, each call went there again and failed, for as long as the client lived. Found by reading, not seen in a run.

Change: such an answer is reported as before, and the next call goes to the next replica named.

--- a/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
@@ -130,6 +130,7 @@
                 }
                 last = place + ": " + answer.path("error").asText("status " + response.statusCode());
                 if (response.statusCode() == 400 || response.statusCode() == 404) {
+                    elsewhere(null, place); // what is at that address may be no replica any more
                     throw new IllegalArgumentException(last);
                 }
                 elsewhere(answer.path("leader").asText(null), place);
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/client/ScriptedReplica.java
@@ -0,0 +1,45 @@
+package saltstage.coordinator.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+import saltstage.coordinator.group.Codec;
+
+/** A replica's front whose answers the test decides. */
+final class ScriptedReplica implements AutoCloseable {
+    /** A status and the body that goes with it. */
+    record Answer(int status, Object body) {
+    }
+
+    private final HttpServer server;
+
+    /** Answers each call by what the function makes of its body, which is null where there is none. */
+    ScriptedReplica(Function<JsonNode, Answer> answers) throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/", exchange -> answer(exchange, answers));
+        server.start();
+    }
+
+    private static void answer(HttpExchange exchange, Function<JsonNode, Answer> answers) throws IOException {
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        Answer answer = answers.apply(body.length == 0 ? null : Codec.json().readTree(body));
+        byte[] bytes = Codec.json().writeValueAsBytes(answer.body());
+        exchange.sendResponseHeaders(answer.status(), bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    /** Where it takes calls, as HOST:PORT. */
+    String place() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+}
