LeaseClient: keep the renewing thread after a round that ends by a fault

Cause: `renew` caught interruption only. A renewal answered 400 or 404 (IllegalArgumentException from GroupClient) or a loss listener that throws ended the thread, while `held` and the client stayed in use: every lease held or granted later ran out unrenewed. Found by reading, not seen in a run.

Change: a fault ends its round, is logged (`lease.renewal-failed`), and the next round follows.

--- a/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
@@ -14,6 +14,7 @@
 import saltstage.coordinator.lease.LeaseReplies.Held;
 import saltstage.coordinator.lease.LeaseReplies.Renewed;
 import saltstage.coordinator.model.Refused;
+import saltstage.log.Log;
 
 /**
  * Holds leases. What it holds it counts on its own monotonic clock from the moment at which the question was
@@ -189,6 +190,8 @@
                 renewOnce();
             } catch (InterruptedException ended) {
                 return;
+            } catch (RuntimeException fault) { // of one round: the leases held need the rounds after it
+                Log.error("lease.renewal-failed", fault);
             }
         }
     }
