Rename the coordinator's package front to api, and its types to standard names

Front is ApiHandler, Answer ApiResponse, Fault ApiError; constants say MAX and TIMEOUT. Names in JSON, paths and log events stay. Renames only.

--- a/coordinator/src/main/java/saltstage/coordinator/front/Front.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
@@ -1,4 +1,4 @@
-package saltstage.coordinator.front;
+package saltstage.coordinator.api;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -34,89 +34,93 @@
  * What clients can ask of a replica, without the sockets: a request's method, path and body in, an
  * answer out, sooner or later. Whatever is malformed gets one clear error and changes nothing.
  */
-public final class Front {
+public final class ApiHandler {
     /** So many calls may be under way in all; the next are turned away at once. */
-    static final int MOST_CALLS = 20_000;
+    static final int MAX_CONCURRENT_CALLS = 20_000;
 
-    private static final long MOST_WAIT_MS = 2_000;
-    private static final long ANSWER_MS = 5_000;
-    private static final int BUSY_MS = 200;
-    private static final int MOST_ROWS = 10_000;
-    private static final long MOST_TIME = 4_102_444_800_000L;
+    private static final long MAX_WAIT_MS = 2_000;
+    private static final long RESPONSE_TIMEOUT_MS = 5_000;
+    private static final int RETRY_MS = 200;
+    private static final int MAX_ROWS = 10_000;
+    private static final long MAX_TIME_MS = 4_102_444_800_000L;
 
     /** An answer: HTTP's status and a value that becomes JSON, or bytes as they are. */
-    record Answer(int status, Object body) {}
+    record ApiResponse(int status, Object body) {}
 
     /** An error as clients see it. */
-    record Fault(String error, long retryMs, String leader) {}
+    record ApiError(String error, long retryMs, String leader) {}
 
-    private static final class BadRequest extends RuntimeException {
+    private static final class BadRequestException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        BadRequest(String why) {
+        BadRequestException(String why) {
             super(why, null, false, false);
         }
     }
 
     /** No tenant is moved to a node that goes out within so long. */
-    private static final long AHEAD_MS = 3_600_000;
+    private static final long AVOID_AHEAD_MS = 3_600_000;
 
     private final Board board = new Board();
     private final Replica replica;
     private final AtomicInteger calls = new AtomicInteger();
 
-    /** A front of this replica. */
-    public Front(Replica replica) {
+    /** A handler of this replica's calls. */
+    public ApiHandler(Replica replica) {
         this.replica = replica;
     }
 
     /** Answers one request. */
-    CompletableFuture<Answer> ask(FullHttpRequest request) {
-        if (calls.incrementAndGet() > MOST_CALLS) {
+    CompletableFuture<ApiResponse> handle(FullHttpRequest request) {
+        if (calls.incrementAndGet() > MAX_CONCURRENT_CALLS) {
             calls.decrementAndGet();
             return CompletableFuture.completedFuture(
-                    new Answer(503, new Fault("busy: too many calls", BUSY_MS, null)));
+                    new ApiResponse(503, new ApiError("busy: too many calls", RETRY_MS, null)));
         }
-        CompletableFuture<Answer> answer;
+        CompletableFuture<ApiResponse> answer;
         try {
             answer =
                     request.decoderResult().isSuccess()
                             ? route(request)
-                            : CompletableFuture.failedFuture(new BadRequest("not HTTP"));
-        } catch (BadRequest bad) {
+                            : CompletableFuture.failedFuture(new BadRequestException("not HTTP"));
+        } catch (BadRequestException bad) {
             answer = CompletableFuture.failedFuture(bad);
         }
         return answer.exceptionally(this::fault)
                 .completeOnTimeout(
-                        new Answer(503, new Fault("open: no majority has answered", BUSY_MS, null)),
-                        ANSWER_MS,
+                        new ApiResponse(
+                                503,
+                                new ApiError("open: no majority has answered", RETRY_MS, null)),
+                        RESPONSE_TIMEOUT_MS,
                         TimeUnit.MILLISECONDS)
                 .whenComplete((any, thrown) -> calls.decrementAndGet());
     }
 
-    private Answer fault(Throwable thrown) {
+    private ApiResponse fault(Throwable thrown) {
         Throwable why =
                 thrown instanceof CompletionException && thrown.getCause() != null
                         ? thrown.getCause()
                         : thrown;
-        if (why instanceof BadRequest || why instanceof IllegalArgumentException) {
-            return new Answer(400, new Fault(why.getMessage(), 0, null));
+        if (why instanceof BadRequestException || why instanceof IllegalArgumentException) {
+            return new ApiResponse(400, new ApiError(why.getMessage(), 0, null));
         }
         if (why instanceof NotLeaderException) {
-            return new Answer(
-                    421, new Fault("another replica leads", BUSY_MS, replica.leaderClients()));
+            return new ApiResponse(
+                    421, new ApiError("another replica leads", RETRY_MS, replica.leaderClients()));
         }
         if (why instanceof CannotReplicateException) {
-            return new Answer(503, new Fault("busy: too much waits for a majority", BUSY_MS, null));
+            return new ApiResponse(
+                    503, new ApiError("busy: too much waits for a majority", RETRY_MS, null));
         }
-        return new Answer(503, new Fault("open: " + why.getClass().getSimpleName(), BUSY_MS, null));
+        return new ApiResponse(
+                503, new ApiError("open: " + why.getClass().getSimpleName(), RETRY_MS, null));
     }
 
-    private CompletableFuture<Answer> route(FullHttpRequest request) {
+    private CompletableFuture<ApiResponse> route(FullHttpRequest request) {
         QueryStringDecoder uri = new QueryStringDecoder(request.uri());
         boolean post = request.method().equals(HttpMethod.POST);
         if (!post && !request.method().equals(HttpMethod.GET)) {
-            throw new BadRequest("GET and POST are taken");
+            throw new BadRequestException("GET and POST are taken");
         }
         String call = (post ? "POST " : "GET ") + uri.path();
         return switch (call) {
@@ -126,29 +130,31 @@
             case "GET /v1/windows" ->
                     replica.read(
                                     state ->
-                                            new Plans(
+                                            new WindowList(
                                                     state.windows().plan(),
                                                     state.windows().all(),
                                                     state.time().day()),
                                     false)
-                            .thenApply(read -> new Answer(200, read));
+                            .thenApply(read -> new ApiResponse(200, read));
             case "GET /v1/levels" -> levels(uri.parameters());
-            case "GET /v1/status" -> replica.status().thenApply(status -> new Answer(200, status));
+            case "GET /v1/status" ->
+                    replica.status().thenApply(status -> new ApiResponse(200, status));
             case "POST /v1/snapshot" -> snapshot(body(request));
             case "GET /v1/advice" -> advice();
             case "POST /v1/join" -> join(body(request));
             case "POST /v1/leave" ->
                     replica.leave(text(body(request), "name"))
-                            .thenApply(state -> new Answer(200, Map.of("state", state)));
+                            .thenApply(state -> new ApiResponse(200, Map.of("state", state)));
             case "POST /v1/transfer" ->
                     replica.transfer(text(body(request), "to"))
-                            .thenApply(done -> new Answer(200, Map.of("state", "handed-over")));
+                            .thenApply(
+                                    done -> new ApiResponse(200, Map.of("state", "handed-over")));
             case "GET /v1/backup" ->
                     replica.read(GroupState::image, false)
-                            .thenApply(image -> new Answer(200, Codec.snapshot(image)));
+                            .thenApply(image -> new ApiResponse(200, Codec.snapshot(image)));
             default ->
                     CompletableFuture.completedFuture(
-                            new Answer(404, new Fault("no such call: " + call, 0, null)));
+                            new ApiResponse(404, new ApiError("no such call: " + call, 0, null)));
         };
     }
 
@@ -159,18 +165,18 @@
             JsonNode read =
                     Codec.json().readTree(request.content().toString(StandardCharsets.UTF_8));
             if (read == null || !read.isObject()) {
-                throw new BadRequest("the body is no JSON object");
+                throw new BadRequestException("the body is no JSON object");
             }
             return read;
         } catch (JsonProcessingException bad) {
-            throw new BadRequest("the body is no JSON: " + bad.getOriginalMessage());
+            throw new BadRequestException("the body is no JSON: " + bad.getOriginalMessage());
         }
     }
 
     private static String text(JsonNode body, String name) {
         JsonNode value = body.get(name);
         if (value == null || !value.isTextual() || value.textValue().isEmpty()) {
-            throw new BadRequest("'" + name + "' takes a text");
+            throw new BadRequestException("'" + name + "' takes a text");
         }
         return value.textValue();
     }
@@ -179,34 +185,34 @@
             Map<String, List<String>> parameters, String name, long absent, long most) {
         String text = parameters.getOrDefault(name, List.of(Long.toString(absent))).get(0);
         if (!text.matches("\\d{1,15}") || Long.parseLong(text) > most) {
-            throw new BadRequest("'" + name + "' takes a whole number up to " + most);
+            throw new BadRequestException("'" + name + "' takes a whole number up to " + most);
         }
         return Long.parseLong(text);
     }
 
     // ---- commands
 
-    private CompletableFuture<Answer> command(JsonNode body) {
+    private CompletableFuture<ApiResponse> command(JsonNode body) {
         String client = text(body, "client");
         JsonNode seq = body.get("seq");
         if (client.length() > 100
                 || seq == null
                 || !seq.isIntegralNumber()
                 || seq.longValue() < 1) {
-            throw new BadRequest(
+            throw new BadRequestException(
                     "'client' takes a text of up to 100 characters, 'seq' a number from 1 on");
         }
         Command command;
         try {
             command = Codec.command(body.path("command"));
         } catch (JsonProcessingException bad) {
-            throw new BadRequest(
+            throw new BadRequestException(
                     "'command': " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
         }
         if (command == null || command.getClass().getName().contains("GroupCommands")) {
-            throw new BadRequest("'command' takes a command for clients");
+            throw new BadRequestException("'command' takes a command for clients");
         }
-        long waitMs = Math.min(MOST_WAIT_MS, body.path("waitMs").asLong(0));
+        long waitMs = Math.min(MAX_WAIT_MS, body.path("waitMs").asLong(0));
         CompletableFuture<Reply> reply = replica.propose(client, seq.longValue(), command);
         if (command instanceof LeaseCommands.Acquire ask && waitMs > 0) {
             reply =
@@ -219,7 +225,7 @@
                                                     System.nanoTime() + waitMs * 1_000_000)
                                             : done(first));
         }
-        return reply.thenApply(said -> new Answer(200, said));
+        return reply.thenApply(said -> new ApiResponse(200, said));
     }
 
     private static <T> CompletableFuture<T> done(T value) {
@@ -266,50 +272,50 @@
     // ---- reads
 
     /** What was read, and how old it may be. */
-    record Reading(List<Leases.Row> leases, long groupNow, boolean stale) {}
+    record LeaseList(List<Leases.Row> leases, long groupNow, boolean stale) {}
 
-    private CompletableFuture<Answer> leases(Map<String, List<String>> parameters) {
+    private CompletableFuture<ApiResponse> leases(Map<String, List<String>> parameters) {
         String prefix = parameters.getOrDefault("prefix", List.of("")).get(0);
-        int most = (int) whole(parameters, "limit", 1_000, MOST_ROWS);
+        int most = (int) whole(parameters, "limit", 1_000, MAX_ROWS);
         boolean stale = whole(parameters, "stale", 0, 1) == 1;
         return replica.read(
                         state ->
-                                new Reading(
+                                new LeaseList(
                                         state.leases().list(prefix, most),
                                         state.time().now(),
                                         stale),
                         stale)
-                .thenApply(read -> new Answer(200, read));
+                .thenApply(read -> new ApiResponse(200, read));
     }
 
     /** The windows, what they are planned by, and the group's time of day. */
-    record Plans(FleetPlan plan, List<Window> windows, long day) {}
+    record WindowList(FleetPlan plan, List<Window> windows, long day) {}
 
-    private CompletableFuture<Answer> levels(Map<String, List<String>> parameters) {
-        long from = whole(parameters, "from", 0, MOST_TIME);
-        long to = whole(parameters, "to", from, MOST_TIME);
-        int most = (int) whole(parameters, "most", 200, MOST_ROWS);
+    private CompletableFuture<ApiResponse> levels(Map<String, List<String>> parameters) {
+        long from = whole(parameters, "from", 0, MAX_TIME_MS);
+        long to = whole(parameters, "to", from, MAX_TIME_MS);
+        int most = (int) whole(parameters, "most", 200, MAX_ROWS);
         return replica.read(
                         state -> {
                             long now = state.time().day();
                             return state.windows().levels(from == 0 ? now : from, to, most, now);
                         },
                         false)
-                .thenApply(read -> new Answer(200, read));
+                .thenApply(read -> new ApiResponse(200, read));
     }
 
-    private CompletableFuture<Answer> lease(Map<String, List<String>> parameters) {
+    private CompletableFuture<ApiResponse> lease(Map<String, List<String>> parameters) {
         String name = parameters.getOrDefault("name", List.of("")).get(0);
         long after = whole(parameters, "after", 0, Long.MAX_VALUE >> 12);
-        long until = System.nanoTime() + whole(parameters, "waitMs", 0, MOST_WAIT_MS) * 1_000_000;
+        long until = System.nanoTime() + whole(parameters, "waitMs", 0, MAX_WAIT_MS) * 1_000_000;
         return watched(name, after, until);
     }
 
-    private CompletableFuture<Answer> watched(String name, long after, long until) {
+    private CompletableFuture<ApiResponse> watched(String name, long after, long until) {
         return replica.read(
                         state -> {
                             Leases.Row row = state.leases().find(name);
-                            return new Reading(
+                            return new LeaseList(
                                     row == null ? List.of() : List.of(row),
                                     state.time().now(),
                                     false);
@@ -320,70 +326,74 @@
                             long revision =
                                     read.leases().isEmpty() ? 0 : read.leases().get(0).revision();
                             return revision != after
-                                    ? done(new Answer(200, read))
+                                    ? done(new ApiResponse(200, read))
                                     : nextChange(until)
                                             .thenCompose(
                                                     changed ->
                                                             changed
                                                                     ? watched(name, after, until)
-                                                                    : done(new Answer(200, read)));
+                                                                    : done(
+                                                                            new ApiResponse(
+                                                                                    200, read)));
                         });
     }
 
     /** All that an advisor goes by, and what was said. */
-    record Advising(
+    record AdviceStatus(
             AdviceBook.Image book,
             List<Board.View> views,
             List<Advisor.Made> made,
             Set<String> avoid) {}
 
-    private CompletableFuture<Answer> advice() {
+    private CompletableFuture<ApiResponse> advice() {
         return replica.read(
                         state -> {
                             synchronized (board) {
-                                return new Advising(
+                                return new AdviceStatus(
                                         state.advice().image(),
                                         board.views(System.nanoTime() / 1_000_000),
                                         state.advice().made(state.time().now()),
-                                        state.windows().avoided(state.time().day(), AHEAD_MS));
+                                        state.windows()
+                                                .avoided(state.time().day(), AVOID_AHEAD_MS));
                             }
                         },
                         false)
-                .thenApply(read -> new Answer(200, read));
+                .thenApply(read -> new ApiResponse(200, read));
     }
 
     /**
      * Snapshots are kept by who leads, and by nobody else: whoever comes to lead begins with none.
      */
-    private CompletableFuture<Answer> snapshot(JsonNode body) {
+    private CompletableFuture<ApiResponse> snapshot(JsonNode body) {
         NodeSnapshot snapshot;
         try {
             snapshot = Codec.json().treeToValue(body, NodeSnapshot.class);
         } catch (JsonProcessingException bad) {
-            throw new BadRequest(
+            throw new BadRequestException(
                     "no snapshot: " + bad.getOriginalMessage().lines().findFirst().orElse("?"));
         }
         if (snapshot.fault() != null) {
-            throw new BadRequest(snapshot.fault());
+            throw new BadRequestException(snapshot.fault());
         }
         if (!replica.leads()) {
             return CompletableFuture.completedFuture(
-                    new Answer(
+                    new ApiResponse(
                             421,
-                            new Fault("another replica leads", BUSY_MS, replica.leaderClients())));
+                            new ApiError(
+                                    "another replica leads", RETRY_MS, replica.leaderClients())));
         }
         synchronized (board) {
             boolean taken = board.take(snapshot, System.nanoTime() / 1_000_000);
-            return done(new Answer(200, Map.of("taken", taken)));
+            return done(new ApiResponse(200, Map.of("taken", taken)));
         }
     }
 
-    private CompletableFuture<Answer> join(JsonNode body) {
+    private CompletableFuture<ApiResponse> join(JsonNode body) {
         return replica.join(
                         text(body, "name"),
                         text(body, "disk"),
                         text(body, "peers"),
                         text(body, "clients"))
-                .thenApply(state -> new Answer(200, Map.of("state", state)));
+                .thenApply(state -> new ApiResponse(200, Map.of("state", state)));
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/front/HttpListener.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/HttpListener.java
@@ -1,4 +1,4 @@
-package saltstage.coordinator.front;
+package saltstage.coordinator.api;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.ServerBootstrap;
@@ -32,23 +32,23 @@
 import saltstage.log.Log;
 
 /**
- * The front on HTTP/1.1: Netty's codec, bounded in connections, in bytes a request and in silence.
+ * The API on HTTP/1.1: Netty's codec, bounded in connections, in bytes a request and in silence.
  */
 public final class HttpListener implements AutoCloseable {
-    private static final int MOST_CONNECTIONS = 4_000;
+    private static final int MAX_CONNECTIONS = 4_000;
 
     /** A renewal of thousands of leases is the largest call there is. */
-    private static final int MOST_BODY = 1 << 20;
+    private static final int MAX_BODY_BYTES = 1 << 20;
 
-    private static final int SILENCE_S = 60;
+    private static final int READ_TIMEOUT_SECONDS = 60;
 
     private final NioEventLoopGroup group =
-            new NioEventLoopGroup(1, new DefaultThreadFactory("front", true));
+            new NioEventLoopGroup(1, new DefaultThreadFactory("api", true));
     private final Channel channel;
     private final AtomicInteger connections = new AtomicInteger();
 
     /** Listens. */
-    public HttpListener(InetSocketAddress at, Front front) throws IOException {
+    public HttpListener(InetSocketAddress at, ApiHandler handler) throws IOException {
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
@@ -59,7 +59,7 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel child) {
-                                        if (connections.incrementAndGet() > MOST_CONNECTIONS) {
+                                        if (connections.incrementAndGet() > MAX_CONNECTIONS) {
                                             connections.decrementAndGet();
                                             child.close();
                                             return;
@@ -69,10 +69,11 @@
                                         child.config().setTcpNoDelay(true);
                                         child.pipeline()
                                                 .addLast(
-                                                        new ReadTimeoutHandler(SILENCE_S),
+                                                        new ReadTimeoutHandler(
+                                                                READ_TIMEOUT_SECONDS),
                                                         new HttpServerCodec(),
-                                                        new HttpObjectAggregator(MOST_BODY),
-                                                        new Calls(front));
+                                                        new HttpObjectAggregator(MAX_BODY_BYTES),
+                                                        new Calls(handler));
                                     }
                                 })
                         .bind(at)
@@ -86,11 +87,11 @@
 
     /** One call after the other: the next of a connection is read once this one is answered. */
     private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Front front;
+        private final ApiHandler handler;
         private boolean busy;
 
-        Calls(Front front) {
-            this.front = front;
+        Calls(ApiHandler handler) {
+            this.handler = handler;
         }
 
         @Override
@@ -102,13 +103,13 @@
             }
             busy = true;
             on.channel().config().setAutoRead(false);
-            front.ask(request)
+            handler.handle(request)
                     .whenComplete(
                             (answer, never) ->
                                     on.executor().execute(() -> write(on, answer, keep)));
         }
 
-        private void write(ChannelHandlerContext on, Front.Answer answer, boolean keep) {
+        private void write(ChannelHandlerContext on, ApiHandler.ApiResponse answer, boolean keep) {
             busy = false;
             byte[] body;
             boolean raw = answer.body() instanceof byte[];
@@ -139,7 +140,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext on, Throwable why) {
-            on.close(); // silence, a reset, or what is no HTTP: nothing of it reached the front
+            on.close(); // silence, a reset, or what is no HTTP: nothing of it reached the handler
         }
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
@@ -12,9 +12,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import saltstage.coordinator.api.ApiHandler;
+import saltstage.coordinator.api.HttpListener;
 import saltstage.coordinator.client.GroupClient;
-import saltstage.coordinator.front.Front;
-import saltstage.coordinator.front.HttpListener;
 import saltstage.coordinator.group.Codec;
 import saltstage.coordinator.replica.Replica;
 import saltstage.coordinator.replica.ReplicaSettings;
@@ -84,7 +84,8 @@
                                             (where, fault) ->
                                                     Log.error("loop.fault." + where, fault)),
                                     Serve::fatal);
-                    HttpListener listener = new HttpListener(mine.clients(), new Front(replica))) {
+                    HttpListener listener =
+                            new HttpListener(mine.clients(), new ApiHandler(replica))) {
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> end(stop, stopped)));
                 Log.info(
                         "replica.ready",
