Split the coordinator's API handler by resource

One class held the dispatch, the reading of requests, all resources and the error texts in 300 lines.

ApiHandler now only dispatches, bounds and maps failures; CommandRoutes, LeaseRoutes, WindowRoutes, AdviceRoutes and ClusterRoutes each register the paths of one resource. ApiRequest reads with checked accessors, ApiResponse and ApiError are typed, StateChanges holds requests back until a change. Paths, statuses, texts and JSON stay.

--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/AdviceRoutes.java
@@ -0,0 +1,84 @@
+package saltstage.coordinator.api;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import saltstage.coordinator.advice.AdviceBook;
+import saltstage.coordinator.advice.Advisor;
+import saltstage.coordinator.advice.Board;
+import saltstage.coordinator.advice.NodeSnapshot;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.replica.Replica;
+
+/** Snapshots that nodes send, and what an advisor needs to know. */
+final class AdviceRoutes {
+    /** No tenant is moved to a node that goes into maintenance within this time. */
+    private static final long AVOID_AHEAD_MS = 3_600_000;
+
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final Board board = new Board();
+    private final Replica replica;
+
+    /** All that an advisor goes by, and what was said. */
+    record AdviceStatus(
+            AdviceBook.Image book,
+            List<Board.View> views,
+            List<Advisor.Made> made,
+            Set<String> avoid) {}
+
+    AdviceRoutes(Replica replica) {
+        this.replica = replica;
+    }
+
+    Map<String, Route> routes() {
+        return Map.of("GET /v1/advice", this::status, "POST /v1/snapshot", this::takeSnapshot);
+    }
+
+    private CompletableFuture<ApiResponse> status(ApiRequest request) {
+        return replica.read(this::status, false).thenApply(ApiResponse::ok);
+    }
+
+    private AdviceStatus status(GroupState state) {
+        synchronized (board) {
+            return new AdviceStatus(
+                    state.advice().image(),
+                    board.views(nowMs()),
+                    state.advice().made(state.time().now()),
+                    state.windows().avoided(state.time().day(), AVOID_AHEAD_MS));
+        }
+    }
+
+    /** Only the leader keeps snapshots, so a new leader begins with none. */
+    private CompletableFuture<ApiResponse> takeSnapshot(ApiRequest request) {
+        NodeSnapshot snapshot = snapshot(request);
+        if (!replica.leads()) {
+            return CompletableFuture.completedFuture(
+                    ApiResponse.notLeader(replica.leaderClients()));
+        }
+        synchronized (board) {
+            boolean taken = board.take(snapshot, nowMs());
+            return CompletableFuture.completedFuture(ApiResponse.ok(Map.of("taken", taken)));
+        }
+    }
+
+    private static NodeSnapshot snapshot(ApiRequest request) {
+        NodeSnapshot snapshot;
+        try {
+            snapshot = Codec.json().treeToValue(request.body(), NodeSnapshot.class);
+        } catch (JsonProcessingException malformed) {
+            throw new BadRequestException("no snapshot: " + ApiRequest.firstLine(malformed));
+        }
+        if (snapshot.fault() != null) {
+            throw new BadRequestException(snapshot.fault());
+        }
+        return snapshot;
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NANOS_PER_MS;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiRequest.java
@@ -0,0 +1,93 @@
+package saltstage.coordinator.api;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import saltstage.coordinator.group.Codec;
+
+/**
+ * One request, with accessors that check what they return. Each of them throws {@link
+ * BadRequestException} with the name of the parameter or field that is wrong.
+ */
+final class ApiRequest {
+    private final String method;
+    private final String path;
+    private final Map<String, List<String>> parameters;
+    private final String content;
+
+    private ApiRequest(
+            String method, String path, Map<String, List<String>> parameters, String content) {
+        this.method = method;
+        this.path = path;
+        this.parameters = parameters;
+        this.content = content;
+    }
+
+    /** Reads the request line; the body is parsed only when it is asked for. */
+    static ApiRequest of(FullHttpRequest request) {
+        if (!request.decoderResult().isSuccess()) {
+            throw new BadRequestException("not HTTP");
+        }
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        HttpMethod method = request.method();
+        if (!method.equals(HttpMethod.POST) && !method.equals(HttpMethod.GET)) {
+            throw new BadRequestException("GET and POST are taken");
+        }
+        return new ApiRequest(
+                method.name(),
+                uri.path(),
+                uri.parameters(),
+                request.content().toString(StandardCharsets.UTF_8));
+    }
+
+    /** Method and path, such as {@code GET /v1/leases}: what routes are registered under. */
+    String route() {
+        return method + " " + path;
+    }
+
+    /** The first value of a query parameter, or this default. */
+    String parameter(String name, String absent) {
+        return parameters.getOrDefault(name, List.of(absent)).get(0);
+    }
+
+    /** A query parameter that is a whole number from 0 to {@code max}, or this default. */
+    long wholeParameter(String name, long absent, long max) {
+        String text = parameter(name, Long.toString(absent));
+        if (!text.matches("\\d{1,15}") || Long.parseLong(text) > max) {
+            throw new BadRequestException("'" + name + "' takes a whole number up to " + max);
+        }
+        return Long.parseLong(text);
+    }
+
+    /** The body, which must be a JSON object. */
+    JsonNode body() {
+        try {
+            JsonNode read = Codec.json().readTree(content);
+            if (read == null || !read.isObject()) {
+                throw new BadRequestException("the body is no JSON object");
+            }
+            return read;
+        } catch (JsonProcessingException malformed) {
+            throw new BadRequestException("the body is no JSON: " + malformed.getOriginalMessage());
+        }
+    }
+
+    /** A field of the body that is a text and not empty. */
+    static String text(JsonNode body, String name) {
+        JsonNode value = body.get(name);
+        if (value == null || !value.isTextual() || value.textValue().isEmpty()) {
+            throw new BadRequestException("'" + name + "' takes a text");
+        }
+        return value.textValue();
+    }
+
+    /** The first line of what a JSON parser complains about, for an error's text. */
+    static String firstLine(JsonProcessingException malformed) {
+        return malformed.getOriginalMessage().lines().findFirst().orElse("?");
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiResponse.java
@@ -0,0 +1,40 @@
+package saltstage.coordinator.api;
+
+/**
+ * A response to one request.
+ *
+ * @param status the HTTP status
+ * @param body a value that becomes JSON, or a byte array that is sent as it is
+ */
+record ApiResponse(int status, Object body) {
+    /** How long a client should wait before it repeats a call that another try may answer. */
+    private static final int RETRY_MS = 200;
+
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    static ApiResponse ok(Object body) {
+        return new ApiResponse(OK, body);
+    }
+
+    static ApiResponse badRequest(String error) {
+        return new ApiResponse(BAD_REQUEST, new ApiError(error, 0, null));
+    }
+
+    static ApiResponse notFound(String error) {
+        return new ApiResponse(NOT_FOUND, new ApiError(error, 0, null));
+    }
+
+    /** This replica does not lead; {@code leader} may be null where none is known. */
+    static ApiResponse notLeader(String leader) {
+        return new ApiResponse(
+                MISDIRECTED, new ApiError("another replica leads", RETRY_MS, leader));
+    }
+
+    static ApiResponse unavailable(String error) {
+        return new ApiResponse(UNAVAILABLE, new ApiError(error, RETRY_MS, null));
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ClusterRoutes.java
@@ -0,0 +1,62 @@
+package saltstage.coordinator.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.replica.Replica;
+
+/** The group itself: this replica's status, its members, its leadership and its backup. */
+final class ClusterRoutes {
+    private final Replica replica;
+
+    /** How a membership call ended. */
+    record MembershipState(String state) {}
+
+    ClusterRoutes(Replica replica) {
+        this.replica = replica;
+    }
+
+    Map<String, Route> routes() {
+        return Map.of(
+                "GET /v1/status", this::status,
+                "GET /v1/backup", this::backup,
+                "POST /v1/join", this::join,
+                "POST /v1/leave", this::leave,
+                "POST /v1/transfer", this::transfer);
+    }
+
+    private CompletableFuture<ApiResponse> status(ApiRequest request) {
+        return replica.status().thenApply(ApiResponse::ok);
+    }
+
+    private CompletableFuture<ApiResponse> backup(ApiRequest request) {
+        return replica.read(GroupState::image, false)
+                .thenApply(image -> ApiResponse.ok(Codec.snapshot(image)));
+    }
+
+    private CompletableFuture<ApiResponse> join(ApiRequest request) {
+        JsonNode body = request.body();
+        return replica.join(
+                        ApiRequest.text(body, "name"),
+                        ApiRequest.text(body, "disk"),
+                        ApiRequest.text(body, "peers"),
+                        ApiRequest.text(body, "clients"))
+                .thenApply(ClusterRoutes::membership);
+    }
+
+    private CompletableFuture<ApiResponse> leave(ApiRequest request) {
+        return replica.leave(ApiRequest.text(request.body(), "name"))
+                .thenApply(ClusterRoutes::membership);
+    }
+
+    private CompletableFuture<ApiResponse> transfer(ApiRequest request) {
+        return replica.transfer(ApiRequest.text(request.body(), "to"))
+                .thenApply(done -> membership("handed-over"));
+    }
+
+    private static ApiResponse membership(String state) {
+        return ApiResponse.ok(new MembershipState(state));
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/api/HttpListener.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/HttpListener.java
@@ -109,7 +109,7 @@
                                     on.executor().execute(() -> write(on, answer, keep)));
         }
 
-        private void write(ChannelHandlerContext on, ApiHandler.ApiResponse answer, boolean keep) {
+        private void write(ChannelHandlerContext on, ApiResponse answer, boolean keep) {
             busy = false;
             byte[] body;
             boolean raw = answer.body() instanceof byte[];
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/Route.java
@@ -0,0 +1,10 @@
+package saltstage.coordinator.api;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Answers the requests of one method and path. */
+@FunctionalInterface
+interface Route {
+    /** The response, sooner or later; throws {@link BadRequestException} for a bad request. */
+    CompletableFuture<ApiResponse> handle(ApiRequest request);
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/WindowRoutes.java
@@ -0,0 +1,52 @@
+package saltstage.coordinator.api;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.replica.Replica;
+import saltstage.coordinator.window.FleetPlan;
+import saltstage.coordinator.window.Window;
+
+/** Reads of maintenance windows, and of the capacity that they leave. */
+final class WindowRoutes {
+    private static final int DEFAULT_ROWS = 200;
+    private static final int MAX_ROWS = 10_000;
+
+    /** In the year 2100; milliseconds since 1970. */
+    private static final long MAX_TIME_MS = 4_102_444_800_000L;
+
+    private final Replica replica;
+
+    /** The windows, the plan that they keep, and the group's time of day. */
+    record WindowList(FleetPlan plan, List<Window> windows, long day) {}
+
+    WindowRoutes(Replica replica) {
+        this.replica = replica;
+    }
+
+    Map<String, Route> routes() {
+        return Map.of("GET /v1/windows", this::list, "GET /v1/levels", this::levels);
+    }
+
+    private CompletableFuture<ApiResponse> list(ApiRequest request) {
+        return replica.read(WindowRoutes::windows, false).thenApply(ApiResponse::ok);
+    }
+
+    private static WindowList windows(GroupState state) {
+        return new WindowList(state.windows().plan(), state.windows().all(), state.time().day());
+    }
+
+    private CompletableFuture<ApiResponse> levels(ApiRequest request) {
+        long from = request.wholeParameter("from", 0, MAX_TIME_MS);
+        long to = request.wholeParameter("to", from, MAX_TIME_MS);
+        int limit = (int) request.wholeParameter("most", DEFAULT_ROWS, MAX_ROWS);
+        return replica.read(
+                        state -> {
+                            long now = state.time().day();
+                            return state.windows().levels(from == 0 ? now : from, to, limit, now);
+                        },
+                        false)
+                .thenApply(ApiResponse::ok);
+    }
+}
