--- a/coordinator/src/main/java/saltstage/coordinator/advice/AdviceBook.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/AdviceLog.java
@@ -9,7 +9,7 @@
 import saltstage.coordinator.model.Reply;
 
 /** Recommendations and what became of them; kept by the group. Times in group time. */
-public final class AdviceBook {
+public final class AdviceLog {
     /** A recommendation that nobody took up is no more after this: the fleet has changed. */
     public static final long OFFERED_MS = 60_000;
 
@@ -50,12 +50,12 @@
     private String why;
 
     /** Nothing was said. */
-    public AdviceBook() {
+    public AdviceLog() {
         this(new Image(0, List.of(), "no advisor has spoken"));
     }
 
     /** As a snapshot has it. */
-    public AdviceBook(Image image) {
+    public AdviceLog(Image image) {
         ids = image.ids();
         image.rows().forEach(row -> rows.put(row.id(), row));
         why = image.why();
@@ -76,14 +76,14 @@
     }
 
     /** Moves that count as made: by them nothing is undone, and the budget is used up. */
-    public List<Advisor.Made> made(long now) {
-        List<Advisor.Made> made = new ArrayList<>();
+    public List<Advisor.RecentMove> made(long now) {
+        List<Advisor.RecentMove> made = new ArrayList<>();
         for (Row row : rows.values()) {
             if (row.state() == State.ACCEPTED
                     || row.state() == State.DONE
                     || row.state() == State.STOPPED) {
                 made.add(
-                        new Advisor.Made(
+                        new Advisor.RecentMove(
                                 row.move().tenant(),
                                 row.move().from(),
                                 row.move().to(),
--- a/coordinator/src/main/java/saltstage/coordinator/advice/Advisor.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/Advisor.java
@@ -43,7 +43,7 @@
     }
 
     /** A move that was made or is being made. */
-    public record Made(
+    public record RecentMove(
             String tenant, String from, String to, int connections, long atMs, boolean over) {}
 
     /** What it says: moves, or why there are none. */
@@ -82,7 +82,7 @@
         private boolean given;
         private boolean taken;
 
-        Node(Board.View view, long freshMs) {
+        Node(NodeSnapshots.View view, long freshMs) {
             told = view.snapshot();
             confidence = 1 - 0.5 * view.ageMs() / freshMs;
             load = told.load();
@@ -117,9 +117,10 @@
     /**
      * Advises on what is known; nodes to be avoided get nothing, and moves made lately are kept.
      */
-    public Advice advise(List<Board.View> views, Set<String> avoid, List<Made> made, long nowMs) {
+    public Advice advise(
+            List<NodeSnapshots.View> views, Set<String> avoid, List<RecentMove> made, long nowMs) {
         List<Node> nodes = new ArrayList<>();
-        for (Board.View view : views) {
+        for (NodeSnapshots.View view : views) {
             if (view.ageMs() <= rules.freshMs()) {
                 nodes.add(new Node(view, rules.freshMs()));
             }
@@ -135,7 +136,7 @@
         }
         Set<String> held = new HashSet<>();
         int inFlight = 0;
-        for (Made move : made) {
+        for (RecentMove move : made) {
             if (nowMs - move.atMs() < rules.holdMs()) {
                 held.addAll(List.of("tenant " + move.tenant(), "node " + move.to()));
             }
--- a/coordinator/src/main/java/saltstage/coordinator/advice/Board.java
+++ b/coordinator/src/main/java/saltstage/coordinator/advice/NodeSnapshots.java
@@ -10,7 +10,7 @@
  * reordered ones change nothing, nor do those of an earlier incarnation; ages count from when they
  * arrived here, so a clock that is off at a node is read by nobody. For one thread at a time.
  */
-public final class Board {
+public final class NodeSnapshots {
     static final int MOST_NODES = 2_000;
     private static final long FORGOTTEN_MS = 600_000;
 
--- a/coordinator/src/main/java/saltstage/coordinator/agent/Agent.java
+++ b/coordinator/src/main/java/saltstage/coordinator/agent/Agent.java
@@ -164,7 +164,7 @@
         for (InetSocketAddress relay : settings.relays().values()) {
             for (String node : window.wish().nodes()) {
                 lease.checkStillHeld();
-                all &= Calls.done(relay, suspend, node);
+                all &= RelayClient.done(relay, suspend, node);
             }
         }
         return all;
@@ -174,7 +174,7 @@
         int answering = 0;
         for (String node : window.wish().nodes()) {
             InetSocketAddress at = settings.nodes().get(node);
-            answering += at != null && Calls.answers(at) ? 1 : 0;
+            answering += at != null && RelayClient.answers(at) ? 1 : 0;
         }
         return answering;
     }
@@ -263,7 +263,7 @@
                         || at == null) {
                     continue;
                 }
-                int looks = Calls.answers(at) ? 0 : silent.getOrDefault(node.id(), 0) + 1;
+                int looks = RelayClient.answers(at) ? 0 : silent.getOrDefault(node.id(), 0) + 1;
                 silent.put(node.id(), looks);
                 lost += looks >= LOOKS ? node.capacity() : 0;
             }
--- a/coordinator/src/main/java/saltstage/coordinator/agent/Calls.java
+++ b/coordinator/src/main/java/saltstage/coordinator/agent/RelayClient.java
@@ -8,11 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
-/** Calls to relays, as operators make them, and looks at nodes, as relays take them. */
-final class Calls {
+/** RelayClient to relays, as operators make them, and looks at nodes, as relays take them. */
+final class RelayClient {
     private static final Duration PATIENCE = Duration.ofMillis(1_500);
 
-    private Calls() {}
+    private RelayClient() {}
 
     /** One line there, one line back; null where none came in time. */
     private static String ask(InetSocketAddress at, String line) {
--- a/coordinator/src/main/java/saltstage/coordinator/api/AdviceRoutes.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/AdviceRoutes.java
@@ -5,10 +5,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import saltstage.coordinator.advice.AdviceBook;
+import saltstage.coordinator.advice.AdviceLog;
 import saltstage.coordinator.advice.Advisor;
-import saltstage.coordinator.advice.Board;
 import saltstage.coordinator.advice.NodeSnapshot;
+import saltstage.coordinator.advice.NodeSnapshots;
 import saltstage.coordinator.group.Codec;
 import saltstage.coordinator.group.GroupState;
 import saltstage.coordinator.replica.Replica;
@@ -20,14 +20,14 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
 
-    private final Board board = new Board();
+    private final NodeSnapshots snapshots = new NodeSnapshots();
     private final Replica replica;
 
     /** All that an advisor goes by, and what was said. */
     record AdviceStatus(
-            AdviceBook.Image book,
-            List<Board.View> views,
-            List<Advisor.Made> made,
+            AdviceLog.Image book,
+            List<NodeSnapshots.View> views,
+            List<Advisor.RecentMove> made,
             Set<String> avoid) {}
 
     AdviceRoutes(Replica replica) {
@@ -43,10 +43,10 @@
     }
 
     private AdviceStatus status(GroupState state) {
-        synchronized (board) {
+        synchronized (snapshots) {
             return new AdviceStatus(
                     state.advice().image(),
-                    board.views(nowMs()),
+                    snapshots.views(nowMs()),
                     state.advice().made(state.time().now()),
                     state.windows().avoided(state.time().day(), AVOID_AHEAD_MS));
         }
@@ -59,8 +59,8 @@
             return CompletableFuture.completedFuture(
                     ApiResponse.notLeader(replica.leaderClients()));
         }
-        synchronized (board) {
-            boolean taken = board.take(snapshot, nowMs());
+        synchronized (snapshots) {
+            boolean taken = snapshots.take(snapshot, nowMs());
             return CompletableFuture.completedFuture(ApiResponse.ok(Map.of("taken", taken)));
         }
     }
--- a/coordinator/src/main/java/saltstage/coordinator/api/HttpListener.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/HttpListener.java
@@ -73,7 +73,7 @@
                                                                 READ_TIMEOUT_SECONDS),
                                                         new HttpServerCodec(),
                                                         new HttpObjectAggregator(MAX_BODY_BYTES),
-                                                        new Calls(handler));
+                                                        new RequestHandler(handler));
                                     }
                                 })
                         .bind(at)
@@ -86,11 +86,11 @@
     }
 
     /** One call after the other: the next of a connection is read once this one is answered. */
-    private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final ApiHandler handler;
         private boolean busy;
 
-        Calls(ApiHandler handler) {
+        RequestHandler(ApiHandler handler) {
             this.handler = handler;
         }
 
--- a/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/GroupClient.java
@@ -43,7 +43,7 @@
      * A reply, and the moment on the caller's monotonic clock before which the group cannot have
      * given it.
      */
-    public record Said(Reply reply, long sentNanos) {}
+    public record TimedReply(Reply reply, long sentNanos) {}
 
     private final List<String> places;
     private final Ticker ticker;
@@ -68,14 +68,15 @@
     }
 
     /** Sends a command until it is answered, for so long at most. */
-    public Said send(Command command, Duration within) throws Unreachable, InterruptedException {
+    public TimedReply send(Command command, Duration within)
+            throws Unreachable, InterruptedException {
         return send(command, within, Duration.ZERO);
     }
 
     /**
      * As above; the group may hold its answer back for so long while the caller waits in a queue.
      */
-    public synchronized Said send(Command command, Duration within, Duration wait)
+    public synchronized TimedReply send(Command command, Duration within, Duration wait)
             throws Unreachable, InterruptedException {
         long first = ticker.nanos();
         long until = first + within.toNanos();
@@ -100,7 +101,7 @@
                 session = UUID.randomUUID().toString(); // the caller decides whether to ask again
                 seq = 0;
             }
-            return new Said(reply, first);
+            return new TimedReply(reply, first);
         }
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
@@ -5,7 +5,7 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
-import saltstage.coordinator.client.GroupClient.Said;
+import saltstage.coordinator.client.GroupClient.TimedReply;
 import saltstage.coordinator.client.GroupClient.Unreachable;
 import saltstage.coordinator.lease.LeaseCommands.Acquire;
 import saltstage.coordinator.lease.LeaseCommands.Release;
@@ -167,7 +167,7 @@
             boolean queue = left > 0;
             Duration hold =
                     queue ? QUEUE.toNanos() < left ? QUEUE : Duration.ofNanos(left) : Duration.ZERO;
-            Said said =
+            TimedReply said =
                     group.send(
                             new Acquire(name, owner, ttl.toMillis(), priority, queue),
                             Duration.ofNanos(Math.max(left, 3_000_000_000L)),
@@ -228,7 +228,7 @@
             return;
         }
         try {
-            Said said = renewing.send(new Renew(owner, fences), Duration.ofNanos(soonest));
+            TimedReply said = renewing.send(new Renew(owner, fences), Duration.ofNanos(soonest));
             if (said.reply() instanceof Renewed renewed) {
                 renewed.ttlMs().keySet().forEach(name -> asked.get(name).renewed(said.sentNanos()));
                 renewed.lost().forEach(name -> asked.get(name).lose());
--- a/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
@@ -12,7 +12,7 @@
 import picocli.CommandLine.Parameters;
 import saltstage.coordinator.advice.AdviceCommands;
 import saltstage.coordinator.advice.Advisor;
-import saltstage.coordinator.advice.Board;
+import saltstage.coordinator.advice.NodeSnapshots;
 import saltstage.coordinator.client.GroupClient;
 import saltstage.coordinator.client.LeaseClient;
 import saltstage.coordinator.client.Ticker;
@@ -159,13 +159,13 @@
         private void say(GroupClient client, LeaseClient.Lease lease, String owner)
                 throws java.io.IOException, InterruptedException, LeaseClient.Lost {
             JsonNode read = client.get("/v1/advice", group.within());
-            List<Board.View> views = new ArrayList<>();
+            List<NodeSnapshots.View> views = new ArrayList<>();
             for (JsonNode view : read.path("views")) {
-                views.add(Codec.json().treeToValue(view, Board.View.class));
+                views.add(Codec.json().treeToValue(view, NodeSnapshots.View.class));
             }
-            List<Advisor.Made> made = new ArrayList<>();
+            List<Advisor.RecentMove> made = new ArrayList<>();
             for (JsonNode one : read.path("made")) {
-                made.add(Codec.json().treeToValue(one, Advisor.Made.class));
+                made.add(Codec.json().treeToValue(one, Advisor.RecentMove.class));
             }
             Set<String> avoid = new HashSet<>();
             read.path("avoid").forEach(name -> avoid.add(name.asText()));
--- a/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
@@ -13,7 +13,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import saltstage.coordinator.client.GroupClient;
-import saltstage.coordinator.client.GroupClient.Said;
+import saltstage.coordinator.client.GroupClient.TimedReply;
 import saltstage.coordinator.client.LeaseClient;
 import saltstage.coordinator.client.Ticker;
 import saltstage.coordinator.lease.LeaseCommands;
@@ -61,7 +61,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said =
+            TimedReply said =
                     group.client()
                             .send(
                                     new LeaseCommands.Acquire(
@@ -100,7 +100,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said =
+            TimedReply said =
                     group.client()
                             .send(
                                     new LeaseCommands.Renew(owner, java.util.Map.of(name, fence)),
@@ -130,7 +130,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Said said =
+            TimedReply said =
                     group.client()
                             .send(new LeaseCommands.Release(name, owner, fence), group.within());
             if (said.reply() instanceof Refused no) {
--- a/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
@@ -17,7 +17,7 @@
 import saltstage.coordinator.window.Window;
 import saltstage.coordinator.window.WindowCommands;
 import saltstage.coordinator.window.WindowReplies;
-import saltstage.coordinator.window.Wish;
+import saltstage.coordinator.window.WindowRequest;
 
 /** Maintenance windows. */
 @CommandLine.Command(
@@ -43,7 +43,7 @@
                 window.wish().region(),
                 window.wish().nodes(),
                 window.start() == 0 ? "no time yet" : Instant.ofEpochMilli(window.start()),
-                Duration.ofMillis(window.wish().lasts()),
+                Duration.ofMillis(window.wish().durationMs()),
                 window.wish().by(),
                 window.begun() == 0 ? "" : ", begun " + Instant.ofEpochMilli(window.begun()),
                 window.why());
@@ -158,7 +158,7 @@
             return say(
                     group,
                     new WindowCommands.Propose(
-                            new Wish(
+                            new WindowRequest(
                                     region,
                                     nodes,
                                     drain.toMillis(),
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import saltstage.coordinator.advice.AdviceBook;
 import saltstage.coordinator.advice.AdviceCommands;
+import saltstage.coordinator.advice.AdviceLog;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.Leases;
 import saltstage.coordinator.model.Command;
@@ -40,7 +40,7 @@
             Leases.Image leases,
             Map<String, MemberRow> members,
             Windows.Image windows,
-            AdviceBook.Image advice) {}
+            AdviceLog.Image advice) {}
 
     private int level;
     private final GroupTime time;
@@ -48,7 +48,7 @@
     private final Leases leases;
     private final Map<String, MemberRow> members;
     private final Windows windows;
-    private final AdviceBook advice;
+    private final AdviceLog advice;
 
     /** A new group. */
     public GroupState() {
@@ -60,7 +60,7 @@
                         new Leases().image(),
                         Map.of(),
                         new Windows().image(),
-                        new AdviceBook().image()));
+                        new AdviceLog().image()));
     }
 
     /** As a snapshot has it. */
@@ -71,7 +71,7 @@
         leases = new Leases(image.leases());
         members = new TreeMap<>(image.members());
         windows = image.windows() == null ? new Windows() : new Windows(image.windows());
-        advice = image.advice() == null ? new AdviceBook() : new AdviceBook(image.advice());
+        advice = image.advice() == null ? new AdviceLog() : new AdviceLog(image.advice());
     }
 
     /** What a snapshot keeps; equal states give equal images. */
@@ -281,7 +281,7 @@
     }
 
     /** Its advice. */
-    public AdviceBook advice() {
+    public AdviceLog advice() {
         return advice;
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -26,7 +26,7 @@
  */
 final class PeerLinks implements Transport {
     private static final Duration CONNECT = Duration.ofSeconds(1);
-    private static final Duration BEAT = Duration.ofMillis(500);
+    private static final Duration HEARTBEAT_PERIOD = Duration.ofMillis(500);
     private static final long LEAST_PAUSE_MS = 50;
     private static final long MOST_PAUSE_MS = 800;
     private static final int MOST_FRAME = 16 << 20;
@@ -41,7 +41,7 @@
 
     private static final byte HELLO = 1;
     private static final byte RAFT = 2;
-    private static final byte BEAT_FRAME = 3;
+    private static final byte HEARTBEAT = 3;
     private static final byte REFUSED = 4;
 
     /** Who is at the end of a link. */
@@ -55,7 +55,7 @@
             String clients) {}
 
     /** What time of day it is there, and what that build knows. */
-    record Beat(long wallMs, int speaks) {}
+    record Heartbeat(long wallMs, int speaks) {}
 
     /** What comes in. */
     interface Events {
@@ -66,7 +66,7 @@
         void message(String from, byte[] bytes) throws IOException;
 
         /** A sign of life. */
-        void beat(String from, Beat beat);
+        void heartbeat(String from, Heartbeat heartbeat);
 
         /** A peer refuses this replica. */
         void refused(String by, String why);
@@ -78,7 +78,7 @@
     private final Hello self;
     private final Events events;
     private final java.util.function.Function<String, InetSocketAddress> addresses;
-    private final java.util.function.Supplier<Beat> beat;
+    private final java.util.function.Supplier<Heartbeat> heartbeat;
     private final Map<String, Link> links = new ConcurrentHashMap<>();
     private saltstage.net.Transport.Listener listener;
     private volatile boolean ended;
@@ -89,19 +89,19 @@
             Hello self,
             Events events,
             java.util.function.Function<String, InetSocketAddress> addresses,
-            java.util.function.Supplier<Beat> beat) {
+            java.util.function.Supplier<Heartbeat> heartbeat) {
         this.transport = transport;
         this.codec = codec;
         this.self = self;
         this.events = events;
         this.addresses = addresses;
-        this.beat = beat;
+        this.heartbeat = heartbeat;
         loop = transport.loops().get(0);
     }
 
     void listen(InetSocketAddress at) throws IOException {
         listener = transport.listen(at, 64, BOUNDS, connection -> new Inbound());
-        loop.after(BEAT, this::beat);
+        loop.after(HEARTBEAT_PERIOD, this::heartbeat);
     }
 
     void end() {
@@ -112,13 +112,13 @@
         loop.run(() -> links.values().forEach(Link::end));
     }
 
-    private void beat() {
+    private void heartbeat() {
         if (ended) {
             return;
         }
-        byte[] now = Codec.bytes(beat.get());
-        links.values().forEach(link -> link.send(BEAT_FRAME, now));
-        loop.after(BEAT, this::beat);
+        byte[] now = Codec.bytes(heartbeat.get());
+        links.values().forEach(link -> link.send(HEARTBEAT, now));
+        loop.after(HEARTBEAT_PERIOD, this::heartbeat);
     }
 
     /** Keeps a link to a peer from now on. */
@@ -250,12 +250,12 @@
             }
             switch (type) {
                 case RAFT -> events.message(from, body);
-                case BEAT_FRAME -> {
-                    Beat beat = Codec.cbor().readValue(body, Beat.class);
-                    if (beat == null) {
+                case HEARTBEAT -> {
+                    Heartbeat heartbeat = Codec.cbor().readValue(body, Heartbeat.class);
+                    if (heartbeat == null) {
                         throw new IOException("a beat that says nothing");
                     }
-                    events.beat(from, beat);
+                    events.heartbeat(from, heartbeat);
                 }
                 default -> throw new IOException("a frame of type " + type);
             }
@@ -306,7 +306,7 @@
             connection = made;
             pause = LEAST_PAUSE_MS;
             made.write(PeerLinks.frame(HELLO, Codec.bytes(self)));
-            made.write(PeerLinks.frame(BEAT_FRAME, Codec.bytes(beat.get())));
+            made.write(PeerLinks.frame(HEARTBEAT, Codec.bytes(heartbeat.get())));
             up = true;
             return this;
         }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -37,10 +37,10 @@
  * must ends its process rather than go on with a state that nobody knows.
  */
 public final class Replica implements AutoCloseable, PeerLinks.Events {
-    private static final Duration LOOK = Duration.ofMillis(200);
-    private static final Duration QUIET_TICK = Duration.ofSeconds(2);
-    private static final int MOST_WAITING = 20_000;
-    private static final int CAUGHT_UP = 200;
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(200);
+    private static final Duration IDLE_TICK_PERIOD = Duration.ofSeconds(2);
+    private static final int MAX_LISTENERS = 20_000;
+    private static final int MAX_LAG_TO_VOTE = 200;
 
     /** How a replica stands, by itself. */
     public record Status(
@@ -77,13 +77,13 @@
     private final PeerLinks links;
     private final RaftNode node;
     private final RaftCodec codec;
-    private final Machine machine;
+    private final ReplicaStateMachine machine;
     private final Fatal fatal;
     private final Transport transport;
     private final Store store;
     private final String process =
             Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
-    private final Map<String, Beat> beats = new ConcurrentHashMap<>();
+    private final Map<String, ReceivedHeartbeat> heartbeats = new ConcurrentHashMap<>();
     private final Map<String, PeerLinks.Hello> hellos = new ConcurrentHashMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private volatile Map<String, GroupState.MemberRow> known = Map.of();
@@ -91,7 +91,7 @@
     private long lastTick;
     private volatile boolean closed;
 
-    private record Beat(PeerLinks.Beat told, long at) {}
+    private record ReceivedHeartbeat(PeerLinks.Heartbeat heartbeat, long atNanos) {}
 
     /** Starts it; a store that belongs to another group, name or disk is refused. */
     public Replica(ReplicaSettings settings, Store store, Transport transport, Fatal fatal)
@@ -103,7 +103,7 @@
         identity = Identity.of(store, settings);
         codec = new RaftCodec(identity.group());
         thread = new RaftThread("replica", settings.speed());
-        machine = new Machine(fatal, this::changed);
+        machine = new ReplicaStateMachine(fatal, this::changed);
         LogStore log = new LogStore(store, why -> fatal.end(74, "store: " + why.getMessage()));
         links =
                 new PeerLinks(
@@ -112,12 +112,14 @@
                         ownHello(),
                         this,
                         this::address,
-                        () -> new PeerLinks.Beat(settings.wall().getAsLong(), settings.speaks()));
+                        () ->
+                                new PeerLinks.Heartbeat(
+                                        settings.wall().getAsLong(), settings.speaks()));
         node = engine(log);
         links.listen(settings.peers());
         names().forEach(links::keep);
         node.start().join();
-        thread.every(this::look, LOOK.toNanos());
+        thread.every(this::periodicCheck, CHECK_PERIOD.toNanos());
     }
 
     private PeerLinks.Hello ownHello() {
@@ -241,8 +243,8 @@
     }
 
     @Override
-    public void beat(String from, PeerLinks.Beat told) {
-        beats.put(from, new Beat(told, System.nanoTime()));
+    public void heartbeat(String from, PeerLinks.Heartbeat told) {
+        heartbeats.put(from, new ReceivedHeartbeat(told, System.nanoTime()));
     }
 
     @Override
@@ -261,11 +263,11 @@
         return leader != null && settings.name().equals(leader.getId());
     }
 
-    private void look() {
+    private void periodicCheck() {
         if (closed) {
             return;
         }
-        thread.every(this::look, LOOK.toNanos());
+        thread.every(this::periodicCheck, CHECK_PERIOD.toNanos());
         known = Map.copyOf(machine.state().members());
         level = machine.state().level();
         links.keepOnly(names());
@@ -274,7 +276,9 @@
                 machine.state().leases().nextDue() != Long.MAX_VALUE
                         || machine.state().windows().alive();
         if (leads()
-                && now - lastTick >= (timed ? LOOK : QUIET_TICK).toNanos() - LOOK.toNanos() / 2) {
+                && now - lastTick
+                        >= (timed ? CHECK_PERIOD : IDLE_TICK_PERIOD).toNanos()
+                                - CHECK_PERIOD.toNanos() / 2) {
             lastTick = now;
             introduce();
             tick(now);
@@ -285,12 +289,12 @@
         Map<String, Long> walls =
                 new TreeMap<>(Map.of(settings.name(), settings.wall().getAsLong()));
         Map<String, Integer> speaks = new TreeMap<>(Map.of(settings.name(), settings.speaks()));
-        beats.forEach(
-                (name, beat) -> {
-                    long age = TimeUnit.NANOSECONDS.toMillis(now - beat.at());
+        heartbeats.forEach(
+                (name, received) -> {
+                    long age = TimeUnit.NANOSECONDS.toMillis(now - received.atNanos());
                     if (age < 10_000) {
-                        walls.put(name, beat.told().wallMs() + age);
-                        speaks.put(name, beat.told().speaks());
+                        walls.put(name, received.heartbeat().wallMs() + age);
+                        speaks.put(name, received.heartbeat().speaks());
                     }
                 });
         if (!known.containsKey(settings.name())) {
@@ -334,7 +338,7 @@
      */
     public boolean onChange(Runnable told) {
         synchronized (waiting) {
-            return waiting.size() < MOST_WAITING && waiting.add(told);
+            return waiting.size() < MAX_LISTENERS && waiting.add(told);
         }
     }
 
@@ -347,9 +351,9 @@
     }
 
     /** Reads the state: as the group has it now, or as it was here some time ago. */
-    public <T> CompletableFuture<T> read(Function<GroupState, T> question, boolean stale) {
+    public <T> CompletableFuture<T> read(Function<GroupState, T> query, boolean stale) {
         return node.<T>query(
-                        new Machine.Question(state -> question.apply(state)),
+                        new ReplicaStateMachine.Query(state -> query.apply(state)),
                         stale ? QueryPolicy.EVENTUAL_CONSISTENCY : QueryPolicy.LINEARIZABLE,
                         Optional.empty(),
                         Optional.empty())
@@ -403,7 +407,7 @@
                             RaftNodeReport now = report.getResult();
                             long at =
                                     now.getLog().getFollowerMatchIndices().getOrDefault(member, 0L);
-                            if (now.getLog().getLastLogOrSnapshotIndex() - at > CAUGHT_UP) {
+                            if (now.getLog().getLastLogOrSnapshotIndex() - at > MAX_LAG_TO_VOTE) {
                                 return CompletableFuture.completedFuture("learns");
                             }
                             return node.changeMembership(
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Machine.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/ReplicaStateMachine.java
@@ -16,17 +16,17 @@
  * or carry out ends the process: the engine would only fail that one call and go on with a state of
  * its own.
  */
-final class Machine implements StateMachine {
+final class ReplicaStateMachine implements StateMachine {
     private static final int CHUNK = 256 << 10;
 
     /** Something to be read from the state; never in the log. */
-    record Question(Function<GroupState, Object> asked) {}
+    record Query(Function<GroupState, Object> asked) {}
 
     private final Replica.Fatal fatal;
     private final Runnable changed;
     private volatile GroupState state = new GroupState();
 
-    Machine(Replica.Fatal fatal, Runnable changed) {
+    ReplicaStateMachine(Replica.Fatal fatal, Runnable changed) {
         this.fatal = fatal;
         this.changed = changed;
     }
@@ -37,8 +37,8 @@
 
     @Override
     public Object runOperation(long index, Object operation) {
-        if (operation instanceof Question question) {
-            return question.asked().apply(state);
+        if (operation instanceof Query query) {
+            return query.asked().apply(state);
         }
         if (!(operation instanceof byte[] entry)) {
             return null; // the start of a term
--- a/coordinator/src/main/java/saltstage/coordinator/window/Grid.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
@@ -12,9 +12,9 @@
  * at its first moment, or at the begin of a window within it, which takes the slot from its first
  * moment on.
  */
-final class Grid {
+final class CapacityTable {
     /** Five weeks of five minutes: what lies beyond is not planned yet. */
-    private static final int MOST_SLOTS = 10_100;
+    private static final int MAX_SLOTS = 10_100;
 
     private final FleetPlan plan;
     private final long from;
@@ -29,12 +29,12 @@
     private final int[] regionsOut;
 
     /** What keeps a window from a slot. */
-    record Block(int slot, String why) {}
+    record Conflict(int slot, String why) {}
 
-    Grid(FleetPlan plan, long now, long until) {
+    CapacityTable(FleetPlan plan, long now, long until) {
         this.plan = plan;
         from = Math.floorDiv(now, plan.slotMs()) * plan.slotMs();
-        slots = (int) Math.min(MOST_SLOTS, Math.max(1, (until - from) / plan.slotMs() + 2));
+        slots = (int) Math.min(MAX_SLOTS, Math.max(1, (until - from) / plan.slotMs() + 2));
         regionsOut = new int[slots];
         for (FleetPlan.Floor floor : plan.floors()) {
             long there =
@@ -128,31 +128,31 @@
      * What keeps a window that begins then from some slot; null: nothing. It is looked at as if
      * planned.
      */
-    Block block(Window window, long begin, long now) {
+    Conflict block(Window window, long begin, long now) {
         Window there = window.at(begin, Window.State.PLANNED, now, "");
         int first = slot(begin);
         int last = slot(there.plannedEnd() - 1) + 1;
         if (last > slots) {
-            return new Block(slots, "it would not be over within the planned time");
+            return new Conflict(slots, "it would not be over within the planned time");
         }
         String region = window.wish().region();
         boolean[] shut = closed.get(region);
         int[] used = busy.get(region);
         for (int i = first; i < last; i++) {
             if (shut[i]) {
-                return new Block(i, "a black-out of " + region);
+                return new Conflict(i, "a black-out of " + region);
             }
             if (used[i] >= 1_000 && i == first) {
-                return new Block(i, region + " rests after a window");
+                return new Conflict(i, region + " rests after a window");
             }
             if (used[i] % 1_000 == 0 && regionsOut[i] >= plan.mostRegions()) {
-                return new Block(i, plan.mostRegions() + " regions are in maintenance already");
+                return new Conflict(i, plan.mostRegions() + " regions are in maintenance already");
             }
         }
         int rest = last + (int) ((plan.spacingMs() + plan.slotMs() - 1) / plan.slotMs());
         for (int i = last; i < Math.min(slots, rest) && used[last - 1] % 1_000 == 0; i++) {
             if (used[i] % 1_000 > 0) {
-                return new Block(i, region + " rests before its next window");
+                return new Conflict(i, region + " rests before its next window");
             }
         }
         for (FleetPlan.Floor floor : floorsOf.getOrDefault(region, List.of())) {
@@ -160,7 +160,7 @@
             for (int i = first; i < last; i++) {
                 long loss = there.lossAt(Math.max(at(i), begin), now, plan.coldPermille());
                 if (row[i] < loss) {
-                    return new Block(
+                    return new Conflict(
                             i,
                             "floor "
                                     + floor.name()
@@ -177,14 +177,14 @@
      * The first begin from a moment on, within its latest end, that nothing blocks; or why there is
      * none.
      */
-    Found firstFit(Window window, long notBefore, long now) {
+    Fit firstFit(Window window, long notBefore, long now) {
         long begin = Math.max(notBefore, Math.max(now, window.wish().earliest()));
-        Block last = null;
+        Conflict last = null;
         int first = slot(begin);
-        while (begin + window.wish().lasts() <= window.wish().latest() && first < slots) {
-            Block block = block(window, begin, now);
+        while (begin + window.wish().durationMs() <= window.wish().latest() && first < slots) {
+            Conflict block = block(window, begin, now);
             if (block == null) {
-                return new Found(
+                return new Fit(
                         begin, last == null ? "its earliest moment" : "not earlier: " + last.why());
             }
             last = block;
@@ -195,11 +195,11 @@
             first = Math.max(slot(begin), block.slot()) + 1;
             begin = at(first);
         }
-        return new Found(-1, last == null ? "it is longer than the time given" : last.why());
+        return new Fit(-1, last == null ? "it is longer than the time given" : last.why());
     }
 
     /** When it may begin (-1: never in time), and why then. */
-    record Found(long begin, String why) {}
+    record Fit(long begin, String why) {}
 
     /** The least room that any floor has from now on, for whoever looks for breaches. */
     long leastRoom(String floor) {
--- a/coordinator/src/main/java/saltstage/coordinator/window/FleetPlan.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/FleetPlan.java
@@ -25,7 +25,7 @@
         long spacingMs,
         int coldPermille) {
     /** Sums of these stay far from where they would overflow. */
-    private static final long MOST_CAPACITY = 1_000_000_000_000_000L;
+    private static final long MAX_CAPACITY = 1_000_000_000_000_000L;
 
     /** From then on local time is so much ahead of UTC. */
     public record Shift(long fromMs, long offsetMs) {}
@@ -116,11 +116,10 @@
                         .anyMatch(
                                 f ->
                                         f.least() < 0
-                                                || f.least() > MOST_CAPACITY
+                                                || f.least() > MAX_CAPACITY
                                                 || f.demandByHour().stream()
-                                                        .anyMatch(d -> d > MOST_CAPACITY))) {
-            return "a plan has up to 100 regions and 150 floors, none of them over "
-                    + MOST_CAPACITY;
+                                                        .anyMatch(d -> d > MAX_CAPACITY))) {
+            return "a plan has up to 100 regions and 150 floors, none of them over " + MAX_CAPACITY;
         }
         return Stream.concat(regions.stream().map(this::fault), floors.stream().map(this::fault))
                 .filter(Objects::nonNull)
@@ -129,7 +128,7 @@
     }
 
     private String fault(Region region) {
-        if (region.nodes().stream().anyMatch(n -> n.capacity() > MOST_CAPACITY / 10_000)
+        if (region.nodes().stream().anyMatch(n -> n.capacity() > MAX_CAPACITY / 10_000)
                 || region.nodes().size() > 10_000) {
             return "region " + region.name() + ": too many nodes, or one too large";
         }
--- a/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
@@ -42,7 +42,7 @@
     }
 
     /** The table with what is fixed. */
-    Grid grid(Collection<Window> waiting) {
+    CapacityTable table(Collection<Window> waiting) {
         long until = now + plan.slotMs();
         for (Window window : waiting) {
             until = Math.max(until, window.wish().latest());
@@ -50,10 +50,10 @@
         for (Window window : fixed) {
             until = Math.max(until, window.plannedEnd());
         }
-        Grid grid = new Grid(plan, now, Math.min(until, now + HORIZON_MS));
-        outages.forEach(grid::outage);
-        fixed.forEach(window -> grid.add(window, now, 1));
-        return grid;
+        CapacityTable table = new CapacityTable(plan, now, Math.min(until, now + HORIZON_MS));
+        outages.forEach(table::outage);
+        fixed.forEach(window -> table.add(window, now, 1));
+        return table;
     }
 
     /** Places all of them. */
@@ -63,7 +63,7 @@
                 Comparator.comparing((Window w) -> !w.wish().emergency())
                         .thenComparing(w -> -w.wish().priority())
                         .thenComparing(w -> w.wish().latest())
-                        .thenComparing(w -> -w.capacity() * w.wish().lasts())
+                        .thenComparing(w -> -w.capacity() * w.wish().durationMs())
                         .thenComparing(Window::id));
         Placed best = inOrder(order);
         if (order.size() <= EXACT) {
@@ -112,7 +112,7 @@
     }
 
     private Placed inOrder(List<Window> order) {
-        Grid grid = grid(order);
+        CapacityTable table = table(order);
         Map<Long, Window> known = new HashMap<>();
         fixed.forEach(window -> known.put(window.id(), window));
         Map<Long, Window> placed = new HashMap<>();
@@ -133,11 +133,11 @@
                             .findFirst()
                             .orElse(left.get(0));
             left.remove(next);
-            Window now1 = one(grid, next, known, placed);
+            Window now1 = one(table, next, known, placed);
             placed.put(now1.id(), now1);
             known.put(now1.id(), now1);
             if (now1.state() == Window.State.PLANNED) {
-                grid.add(now1, now, 1);
+                table.add(now1, now, 1);
                 ends += now1.plannedEnd() - now;
             } else {
                 unplaced++;
@@ -150,7 +150,8 @@
      * Places one into the table, after those that it must come after and apart from those it must
      * be.
      */
-    Window one(Grid grid, Window window, Map<Long, Window> known, Map<Long, Window> placed) {
+    Window one(
+            CapacityTable table, Window window, Map<Long, Window> known, Map<Long, Window> placed) {
         long notBefore = now;
         for (Long before : window.wish().after()) {
             Window first = known.get(before);
@@ -164,7 +165,7 @@
             notBefore = Math.max(notBefore, first.plannedEnd());
         }
         while (true) {
-            Grid.Found found = grid.firstFit(window, notBefore, now);
+            CapacityTable.Fit found = table.firstFit(window, notBefore, now);
             if (found.begin() < 0) {
                 return window.at(0, Window.State.PUT_OFF, now, found.why());
             }
--- a/coordinator/src/main/java/saltstage/coordinator/window/Window.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Window.java
@@ -12,7 +12,7 @@
  */
 public record Window(
         long id,
-        Wish wish,
+        WindowRequest wish,
         State state,
         long capacity,
         long start,
@@ -73,7 +73,7 @@
 
     /** When it should be over, from its begin or its plan. */
     long plannedEnd() {
-        return (begun > 0 ? begun : start) + wish.lasts();
+        return (begun > 0 ? begun : start) + wish.durationMs();
     }
 
     /** Whether it has taken longer than it was to. */
--- a/coordinator/src/main/java/saltstage/coordinator/window/WindowCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/WindowCommands.java
@@ -32,7 +32,7 @@
     }
 
     /** Wants a window. */
-    public record Propose(Wish wish) implements Command {
+    public record Propose(WindowRequest wish) implements Command {
         @Override
         public int since() {
             return SINCE;
--- a/coordinator/src/main/java/saltstage/coordinator/window/Wish.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/WindowRequest.java
@@ -19,7 +19,7 @@
  * @param by who asks
  * @param purpose what for; the same wish for the same purpose is the same window
  */
-public record Wish(
+public record WindowRequest(
         String region,
         List<String> nodes,
         long drainMs,
@@ -35,17 +35,17 @@
         String by,
         String purpose) {
     /** How long it takes in all, in milliseconds. */
-    public long lasts() {
+    public long durationMs() {
         return drainMs + workMs + warmMs;
     }
 
-    Wish of(List<String> some) {
-        return new Wish(
+    WindowRequest of(List<String> some) {
+        return new WindowRequest(
                 region, some, drainMs, workMs, warmMs, earliest, latest, priority, emergency, split,
                 after, apart, by, purpose);
     }
 
-    boolean sameAs(Wish other) {
+    boolean sameAs(WindowRequest other) {
         return region.equals(other.region)
                 && purpose.equals(other.purpose)
                 && List.copyOf(new java.util.TreeSet<>(nodes))
--- a/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Windows.java
@@ -23,9 +23,9 @@
  * threads and clocks.
  */
 public final class Windows {
-    private static final int MOST_WAITING = 5_000;
-    private static final int MOST_OVER = 500;
-    private static final int MOST_PARTS = 1_000;
+    private static final int MAX_WAITING = 5_000;
+    private static final int MAX_OVER = 500;
+    private static final int MAX_PARTS = 1_000;
 
     /** In the year 2100: sums of times stay far from where they would overflow. */
     static final long LAST_DAY = 4_102_444_800_000L;
@@ -107,7 +107,8 @@
         looked = now;
         boolean changed = false;
         for (Window window : List.copyOf(windows.values())) {
-            if (window.state().waits() && now + window.wish().lasts() > window.wish().latest()) {
+            if (window.state().waits()
+                    && now + window.wish().durationMs() > window.wish().latest()) {
                 windows.put(
                         window.id(),
                         window.to(State.EXPIRED, now, "its time ran out: " + window.why()));
@@ -137,7 +138,7 @@
                         .filter(w -> !w.state().waits() && !w.state().takesCapacity())
                         .sorted(Comparator.comparingLong(Window::since))
                         .toList();
-        for (int i = 0; i < over.size() - MOST_OVER; i++) {
+        for (int i = 0; i < over.size() - MAX_OVER; i++) {
             windows.remove(over.get(i).id());
         }
     }
@@ -153,10 +154,10 @@
     private void turnBack(long now) {
         for (FleetPlan.Floor floor : plan.floors()) {
             while (true) {
-                Grid grid =
-                        new Planner(plan, now, in(State::takesCapacity), outages).grid(List.of());
+                CapacityTable table =
+                        new Planner(plan, now, in(State::takesCapacity), outages).table(List.of());
                 long room =
-                        grid.roomNow(floor.name())
+                        table.roomNow(floor.name())
                                 + in(s -> s == State.RETURNING).stream()
                                         .filter(
                                                 w ->
@@ -202,7 +203,7 @@
     private void replan(long now) {
         Planner planner = new Planner(plan, now, in(State::takesCapacity), outages);
         List<Window> waiting = in(s -> s == State.PLANNED || s == State.PUT_OFF);
-        Grid grid = planner.grid(waiting);
+        CapacityTable table = planner.table(waiting);
         Map<Long, Window> known = new LinkedHashMap<>();
         in(s -> !s.waits()).forEach(w -> known.put(w.id(), w));
         List<Window> order = new ArrayList<>(waiting);
@@ -218,16 +219,16 @@
                             && window.start() >= now - 2 * plan.slotMs()
                             && window.wish().after().stream()
                                     .allMatch(id -> over(id, window.start(), known))
-                            && grid.block(window, Math.max(now, window.start()), now) == null;
+                            && table.block(window, Math.max(now, window.start()), now) == null;
             if (stays) {
-                grid.add(window, now, 1);
+                table.add(window, now, 1);
                 known.put(window.id(), window);
             } else {
                 homeless.add(window);
             }
         }
         for (Window window : homeless) {
-            place(planner, grid, known, window, now);
+            place(planner, table, known, window, now);
         }
     }
 
@@ -241,8 +242,12 @@
     }
 
     private Window place(
-            Planner planner, Grid grid, Map<Long, Window> known, Window window, long now) {
-        Window placed = planner.one(grid, window, known, known);
+            Planner planner,
+            CapacityTable table,
+            Map<Long, Window> known,
+            Window window,
+            long now) {
+        Window placed = planner.one(table, window, known, known);
         if (window.state() == State.PLANNED && placed.start() != window.start()) {
             placed =
                     placed.to(
@@ -253,7 +258,7 @@
         windows.put(placed.id(), placed);
         known.put(placed.id(), placed);
         if (placed.state() == State.PLANNED) {
-            grid.add(placed, now, 1);
+            table.add(placed, now, 1);
         }
         return placed;
     }
@@ -294,18 +299,18 @@
         return new Done("agreed");
     }
 
-    private String fault(Wish wish) {
+    private String fault(WindowRequest wish) {
         FleetPlan.Region region = plan.region(wish.region());
         if (region == null) {
             return "no region " + wish.region();
         }
         Set<String> there = new TreeSet<>(region.nodes().stream().map(FleetPlan.Node::id).toList());
-        if (wish.nodes().size() > MOST_PARTS
-                || wish.after().size() > MOST_PARTS
-                || wish.apart().size() > MOST_PARTS
+        if (wish.nodes().size() > MAX_PARTS
+                || wish.after().size() > MAX_PARTS
+                || wish.apart().size() > MAX_PARTS
                 || wish.earliest() < 0
                 || wish.latest() > LAST_DAY) {
-            return "a window names up to " + MOST_PARTS + " of each, and ends by " + LAST_DAY;
+            return "a window names up to " + MAX_PARTS + " of each, and ends by " + LAST_DAY;
         }
         if (wish.nodes().isEmpty()
                 || !there.containsAll(wish.nodes())
@@ -322,8 +327,8 @@
                 || wish.workMs() > most
                 || wish.warmMs() < 0
                 || wish.warmMs() > most
-                || wish.lasts() < 1
-                || wish.lasts() > most) {
+                || wish.durationMs() < 1
+                || wish.durationMs() > most) {
             return "a window lasts up to seven days, and no part of it is negative";
         }
         if (wish.by() == null
@@ -332,12 +337,12 @@
                 || wish.purpose().isBlank()) {
             return "who asks, and what for, must be said";
         }
-        return wish.latest() - wish.earliest() < wish.lasts()
+        return wish.latest() - wish.earliest() < wish.durationMs()
                 ? "it is longer than the time given"
                 : null;
     }
 
-    private long capacity(Wish wish) {
+    private long capacity(WindowRequest wish) {
         return plan.region(wish.region()).nodes().stream()
                 .filter(n -> wish.nodes().contains(n.id()))
                 .mapToLong(FleetPlan.Node::capacity)
@@ -345,7 +350,7 @@
     }
 
     /** Wants a window; the same wish again is the same window. */
-    public Reply propose(Wish wish, long now) {
+    public Reply propose(WindowRequest wish, long now) {
         if (plan == null) {
             return no("no-plan", "nothing is agreed about the fleet yet");
         }
@@ -363,8 +368,8 @@
         if (!same.isEmpty()) {
             return new WindowReplies.Planned(same, true);
         }
-        if (in(State::waits).size() >= MOST_WAITING) {
-            return no("too-many", MOST_WAITING + " windows wait already");
+        if (in(State::waits).size() >= MAX_WAITING) {
+            return no("too-many", MAX_WAITING + " windows wait already");
         }
         for (Window window : windows.values()) {
             // One node cannot be in two windows at once; one after the other is asked for by
@@ -386,7 +391,7 @@
     /**
      * Plans it whole, else in halves where it may be split, else says why not and when it would do.
      */
-    private Refused add(Wish wish, long now, List<Window> made) {
+    private Refused add(WindowRequest wish, long now, List<Window> made) {
         Planner planner = new Planner(plan, now, in(State::takesCapacity), outages);
         Window window =
                 new Window(ids + 1, wish, State.PUT_OFF, capacity(wish), 0, 0, now, 0, "proposed");
@@ -395,13 +400,13 @@
                 wish.emergency()
                         ? planned.stream().filter(w -> w.wish().emergency()).toList()
                         : planned;
-        List<Window> table = new ArrayList<>(counted);
-        table.add(window);
-        Grid grid = planner.grid(table);
-        counted.forEach(w -> grid.add(w, now, 1));
+        List<Window> waiting = new ArrayList<>(counted);
+        waiting.add(window);
+        CapacityTable table = planner.table(waiting);
+        counted.forEach(w -> table.add(w, now, 1));
         Map<Long, Window> known = new LinkedHashMap<>();
         windows.values().forEach(w -> known.put(w.id(), w));
-        Window placed = planner.one(grid, window, known, known);
+        Window placed = planner.one(table, window, known, known);
         if (placed.state() == State.PLANNED) {
             ids++;
             windows.put(placed.id(), placed);
@@ -433,9 +438,9 @@
     }
 
     private Refused refusal(Planner planner, Window window, Window placed, long now) {
-        Wish later = window.wish();
-        Wish open =
-                new Wish(
+        WindowRequest later = window.wish();
+        WindowRequest open =
+                new WindowRequest(
                         later.region(),
                         later.nodes(),
                         later.drainMs(),
@@ -452,11 +457,11 @@
                         later.purpose());
         Window longer =
                 new Window(window.id(), open, State.PUT_OFF, window.capacity(), 0, 0, now, 0, "");
-        List<Window> table = new ArrayList<>(in(s -> s == State.PLANNED));
-        table.add(longer);
-        Grid grid = planner.grid(table);
-        in(s -> s == State.PLANNED).forEach(w -> grid.add(w, now, 1));
-        Grid.Found found = grid.firstFit(longer, now, now);
+        List<Window> waiting = new ArrayList<>(in(s -> s == State.PLANNED));
+        waiting.add(longer);
+        CapacityTable table = planner.table(waiting);
+        in(s -> s == State.PLANNED).forEach(w -> table.add(w, now, 1));
+        CapacityTable.Fit found = table.firstFit(longer, now, now);
         return new Refused(
                 "no-room",
                 placed.why()
@@ -520,8 +525,9 @@
         if (window.start() > now) {
             return new Refused("early", "window " + id + " begins later", window.start() - now);
         }
-        Grid grid = new Planner(plan, now, in(State::takesCapacity), outages).grid(List.of(window));
-        Grid.Block block = grid.block(window, now, now);
+        CapacityTable table =
+                new Planner(plan, now, in(State::takesCapacity), outages).table(List.of(window));
+        CapacityTable.Conflict block = table.block(window, now, now);
         boolean inOrder =
                 window.wish().after().stream()
                         .allMatch(
--- a/coordinator/src/test/java/saltstage/coordinator/advice/AdvisorTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/advice/AdvisorTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import saltstage.coordinator.advice.AdviceCommands.Advise;
 import saltstage.coordinator.advice.AdviceCommands.Decide;
-import saltstage.coordinator.advice.Advisor.Made;
+import saltstage.coordinator.advice.Advisor.RecentMove;
 import saltstage.coordinator.model.Done;
 import saltstage.coordinator.model.Refused;
 
@@ -19,9 +19,9 @@
     private final Advisor advisor = new Advisor(Advisor.Rules.usual());
 
     /** A node of 100 mean loads with so much of it in use, one large tenant and others. */
-    private static Board.View node(
+    private static NodeSnapshots.View node(
             String name, long loadOfTenant, long others, double delay, long age) {
-        return new Board.View(
+        return new NodeSnapshots.View(
                 new NodeSnapshot(
                         name,
                         "r",
@@ -40,7 +40,7 @@
                 age);
     }
 
-    private static List<Board.View> oneHot(long age) {
+    private static List<NodeSnapshots.View> oneHot(long age) {
         return List.of(
                 node("a", 60_000, 35_000, 400, age),
                 node("b", 5_000, 20_000, 5, age),
@@ -48,7 +48,8 @@
                 node("d", 5_000, 30_000, 8, age));
     }
 
-    private List<Move> moves(List<Board.View> views, Set<String> avoid, List<Made> made) {
+    private List<Move> moves(
+            List<NodeSnapshots.View> views, Set<String> avoid, List<RecentMove> made) {
         return advisor.advise(views, avoid, made, 0).moves();
     }
 
@@ -82,7 +83,7 @@
 
     @Test
     void onFewFreshSnapshotsItSaysSoAndNothingElse() {
-        List<Board.View> views =
+        List<NodeSnapshots.View> views =
                 List.of(
                         node("a", 60_000, 35_000, 400, 0),
                         node("b", 5_000, 20_000, 5, 99_999),
@@ -94,18 +95,18 @@
 
     @Test
     void whatWasMovedIsNotMovedBackAndABudgetThatIsUsedUpEndsIt() {
-        Made lately = new Made("t-a", "b", "a", 10, -1_000, true);
+        RecentMove lately = new RecentMove("t-a", "b", "a", 10, -1_000, true);
         assertEquals(List.of(), moves(oneHot(0), Set.of(), List.of(lately)), "a has just got it");
-        Made longAgo = new Made("t-a", "b", "a", 10, -99_000, true);
+        RecentMove longAgo = new RecentMove("t-a", "b", "a", 10, -99_000, true);
         assertFalse(moves(oneHot(0), Set.of(), List.of(longAgo)).isEmpty());
         assertEquals(
                 List.of(),
-                moves(oneHot(0), Set.of(), List.of(new Made("x", "y", "z", 200, 0, false))));
+                moves(oneHot(0), Set.of(), List.of(new RecentMove("x", "y", "z", 200, 0, false))));
     }
 
     @Test
     void manyMovesTogetherDoNotOverfillTheNodeThatEachAloneWouldPick() {
-        List<Board.View> views =
+        List<NodeSnapshots.View> views =
                 List.of(
                         node("a", 60_000, 35_000, 400, 0),
                         node("e", 60_000, 35_000, 400, 0),
@@ -121,19 +122,19 @@
 
     @Test
     void lateDoubledAndEarlierSnapshotsChangeNothing() {
-        Board board = new Board();
+        NodeSnapshots board = new NodeSnapshots();
         NodeSnapshot first = node("a", 1_000, 1, 1, 0).snapshot();
         NodeSnapshot restarted = new NodeSnapshot("a", "r", 2, 0, 1, 0, 1, List.of(), 7);
         assertTrue(board.take(first, 0));
         assertFalse(board.take(first, 1));
         assertTrue(board.take(restarted, 2));
         assertFalse(board.take(first, 3), "of an earlier incarnation");
-        assertEquals(List.of(new Board.View(restarted, 8)), board.views(10));
+        assertEquals(List.of(new NodeSnapshots.View(restarted, 8)), board.views(10));
     }
 
     @Test
     void bookKeepsOneVoiceAndDecidesOnce() {
-        AdviceBook book = new AdviceBook();
+        AdviceLog book = new AdviceLog();
         Move move = moves(oneHot(0), Set.of(), List.of()).get(0);
         assertInstanceOf(Done.class, book.advise(new Advise("o", 5, List.of(move), "why"), 0));
         assertInstanceOf(Refused.class, book.advise(new Advise("old", 4, List.of(), "late"), 1));
@@ -142,8 +143,8 @@
         assertInstanceOf(Refused.class, book.decide(new Decide(1, false, "ops"), 4));
         assertEquals(1, book.made(5).size());
         book.advise(new Advise("o", 5, List.of(move), "again"), 6);
-        book.advance(7 + AdviceBook.OFFERED_MS);
-        assertEquals(AdviceBook.State.EXPIRED, book.image().rows().get(1).state());
-        assertEquals(book.image(), new AdviceBook(book.image()).image());
+        book.advance(7 + AdviceLog.OFFERED_MS);
+        assertEquals(AdviceLog.State.EXPIRED, book.image().rows().get(1).state());
+        assertEquals(book.image(), new AdviceLog(book.image()).image());
     }
 }
--- a/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/window/WindowsTest.java
@@ -51,8 +51,9 @@
                 310);
     }
 
-    private static Wish wish(String region, int count, long earliest, long latest, int priority) {
-        return new Wish(
+    private static WindowRequest wish(
+            String region, int count, long earliest, long latest, int priority) {
+        return new WindowRequest(
                 region,
                 IntStream.range(0, count).mapToObj(i -> region + i).toList(),
                 10 * MINUTE,
@@ -109,10 +110,10 @@
     @Test
     void sameWishOfTwoOperatorsIsOneWindow() {
         windows.set(plan(0, 3, 0), MONDAY);
-        Wish wish = wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 0);
+        WindowRequest wish = wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 0);
         planned(windows.propose(wish, MONDAY));
-        Wish again =
-                new Wish(
+        WindowRequest again =
+                new WindowRequest(
                         "a",
                         List.of("a1", "a0"),
                         1,
@@ -187,7 +188,7 @@
         Window first = planned(windows.propose(wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 0), MONDAY));
         now(windows.begin(first.id(), MONDAY));
         assertEquals(State.RETURNING, now(windows.withdraw(first.id(), "ops", MONDAY + 1)).state());
-        Wish other = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
+        WindowRequest other = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
         assertInstanceOf(
                 Refused.class, windows.propose(other, MONDAY + 2), "nobody knows when it is back");
         now(windows.report(first.id(), Step.PROVEN, 200, MONDAY + 3));
@@ -213,11 +214,11 @@
     void emergencyGoesFirstAndSaysWhomItMovedAndStillKeepsTheFloor() {
         windows.set(plan(1_000, 3, 0), MONDAY);
         Window usual = planned(windows.propose(wish("a", 2, MONDAY, MONDAY + 9 * HOUR, 9), MONDAY));
-        Wish wish = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
+        WindowRequest wish = wish("b", 2, MONDAY, MONDAY + 9 * HOUR, 0);
         Window first =
                 planned(
                         windows.propose(
-                                new Wish(
+                                new WindowRequest(
                                         "b",
                                         wish.nodes(),
                                         10 * MINUTE,
@@ -238,7 +239,7 @@
         assertInstanceOf(
                 Refused.class,
                 windows.propose(
-                        new Wish(
+                        new WindowRequest(
                                 "c",
                                 List.of("c0", "c1", "c2"),
                                 0,
@@ -259,8 +260,8 @@
     @Test
     void wishThatMayBeSplitGoesInParts() {
         windows.set(plan(1_000, 3, 0), MONDAY);
-        Wish whole =
-                new Wish(
+        WindowRequest whole =
+                new WindowRequest(
                         "a",
                         List.of("a0", "a1", "a2", "a3"),
                         0,
@@ -285,8 +286,8 @@
         windows.set(plan(0, 1, 30 * MINUTE), MONDAY);
         Window first =
                 planned(windows.propose(wish("a", 1, MONDAY, MONDAY + 99 * HOUR, 0), MONDAY));
-        Wish second =
-                new Wish(
+        WindowRequest second =
+                new WindowRequest(
                         "a",
                         List.of("a1"),
                         0,
@@ -389,9 +390,10 @@
         List<Window> all = new ArrayList<>(played.all());
         Window any = all.isEmpty() ? null : all.get(drawn.nextInt(all.size()));
         if (any == null || drawn.nextInt(5) == 0) {
-            Wish wish = wish(region, 1 + drawn.nextInt(3), now, now + 24 * HOUR, drawn.nextInt(4));
+            WindowRequest wish =
+                    wish(region, 1 + drawn.nextInt(3), now, now + 24 * HOUR, drawn.nextInt(4));
             played.propose(
-                    new Wish(
+                    new WindowRequest(
                             region,
                             wish.nodes(),
                             wish.drainMs(),
--- a/lab/src/main/java/saltstage/lab/trial/DemoFleetCommand.java
+++ b/lab/src/main/java/saltstage/lab/trial/DemoFleetCommand.java
@@ -21,7 +21,7 @@
 import saltstage.coordinator.window.Window;
 import saltstage.coordinator.window.WindowCommands;
 import saltstage.coordinator.window.WindowReplies;
-import saltstage.coordinator.window.Wish;
+import saltstage.coordinator.window.WindowRequest;
 import saltstage.lab.Home;
 
 /**
@@ -109,7 +109,7 @@
     private Window propose(GroupClient client, String region) throws IOException, InterruptedException {
         long now = System.currentTimeMillis();
         List<String> nodes = regions.get(region).seen().nodes().subList(0, NODES - 1);
-        Reply reply = client.send(new WindowCommands.Propose(new Wish(region, nodes, DRAIN_MS, WORK_MS,
+        Reply reply = client.send(new WindowCommands.Propose(new WindowRequest(region, nodes, DRAIN_MS, WORK_MS,
             WARM_MS, now, now + 600_000, 0, false, false, List.of(), List.of(), "demo",
             "new kernel")), CALL).reply();
         if (reply instanceof WindowReplies.Planned planned) {
--- a/lab/src/main/java/saltstage/lab/trial/WindowTrial.java
+++ b/lab/src/main/java/saltstage/lab/trial/WindowTrial.java
@@ -16,7 +16,7 @@
 import saltstage.coordinator.window.Window;
 import saltstage.coordinator.window.WindowCommands;
 import saltstage.coordinator.window.WindowReplies;
-import saltstage.coordinator.window.Wish;
+import saltstage.coordinator.window.WindowRequest;
 import saltstage.wire.MalformedException;
 
 /**
@@ -120,7 +120,7 @@
 
     private Window propose(String region) throws IOException, InterruptedException {
         long now = System.currentTimeMillis();
-        Reply reply = client.send(new WindowCommands.Propose(new Wish(region,
+        Reply reply = client.send(new WindowCommands.Propose(new WindowRequest(region,
             regions.get(region).nodes().subList(0, 3), DRAIN_MS, WORK_MS, WARM_MS, now, now + 300_000, 0,
             false, false, List.of(), List.of(), "trial", "round " + round)), CALL).reply();
         if (reply instanceof WindowReplies.Planned planned) {
