--- a/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
@@ -128,7 +128,7 @@
      * What keeps a window that begins then from some slot; null: nothing. It is looked at as if
      * planned.
      */
-    Conflict block(Window window, long begin, long now) {
+    Conflict conflict(Window window, long begin, long now) {
         Window there = window.at(begin, Window.State.PLANNED, now, "");
         int first = slot(begin);
         int last = slot(there.plannedEnd() - 1) + 1;
@@ -182,17 +182,17 @@
         Conflict last = null;
         int first = slot(begin);
         while (begin + window.wish().durationMs() <= window.wish().latest() && first < slots) {
-            Conflict block = block(window, begin, now);
-            if (block == null) {
+            Conflict conflict = conflict(window, begin, now);
+            if (conflict == null) {
                 return new Fit(
                         begin, last == null ? "its earliest moment" : "not earlier: " + last.why());
             }
-            last = block;
+            last = conflict;
             // What a window takes only falls with its time: begun later, and before the blocked
             // slot, it
             // would
             // take as much of that slot or more.
-            first = Math.max(slot(begin), block.slot()) + 1;
+            first = Math.max(slot(begin), conflict.slot()) + 1;
             begin = at(first);
         }
         return new Fit(-1, last == null ? "it is longer than the time given" : last.why());
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Replanner.java
@@ -0,0 +1,146 @@
+package saltstage.coordinator.window;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltstage.coordinator.window.Window.State;
+
+/**
+ * What follows from any change: drains are turned back while a floor is short, then the windows
+ * that wait are planned anew, then the oldest that are over are forgotten.
+ */
+final class Replanner {
+    /** Windows that are over are kept for operators to read, up to this many. */
+    private static final int MAX_OVER = 500;
+
+    /** A planned window that has not begun this many slots after its start is planned anew. */
+    private static final int LATE_SLOTS = 2;
+
+    /** Whom to turn back first: not emergencies, low priority, latest begun, highest number. */
+    private static final Comparator<Window> LEAST_WANTED_FIRST =
+            Comparator.comparing((Window w) -> w.wish().emergency())
+                    .thenComparing(w -> w.wish().priority())
+                    .thenComparing(w -> -w.begun())
+                    .thenComparing(w -> -w.id());
+
+    /** Whom to plan first: emergencies, those that have a place, high priority, lowest number. */
+    private static final Comparator<Window> MOST_URGENT_FIRST =
+            Comparator.comparing((Window w) -> !w.wish().emergency())
+                    .thenComparing(w -> w.state() != State.PLANNED)
+                    .thenComparing(w -> -w.wish().priority())
+                    .thenComparing(Window::id);
+
+    private final WindowStore store;
+
+    Replanner(WindowStore store) {
+        this.store = store;
+    }
+
+    /** Applies all that follows from a change at this moment. */
+    void settle(long now) {
+        store.plan().floors().forEach(floor -> turnBack(floor, now));
+        replan(now);
+        forgetOld();
+    }
+
+    /** Whether a planned window has missed its start: its agent is gone, or was refused. */
+    boolean missed(Window window, long now) {
+        return window.state() == State.PLANNED
+                && window.start() < now - LATE_SLOTS * store.plan().slotMs();
+    }
+
+    /**
+     * While a floor is short, drains that have not become outages are given back, the least wanted
+     * first.
+     */
+    private void turnBack(FleetPlan.Floor floor, long now) {
+        while (true) {
+            long room = roomWithReturns(floor, now);
+            Window least =
+                    store.inState(s -> s == State.DRAINING).stream()
+                            .filter(w -> floor.regions().contains(w.wish().region()))
+                            .min(LEAST_WANTED_FIRST)
+                            .orElse(null);
+            if (room >= 0 || least == null) {
+                return;
+            }
+            String why = "turned back: floor " + floor.name() + " is short by " + -room;
+            store.put(least.to(State.RETURNING, now, why));
+        }
+    }
+
+    /** A floor's room in the present slot, counting what is on its way back already as there. */
+    private long roomWithReturns(FleetPlan.Floor floor, long now) {
+        long returning =
+                store.inState(s -> s == State.RETURNING).stream()
+                        .filter(w -> floor.regions().contains(w.wish().region()))
+                        .mapToLong(w -> w.lossAt(now, now, store.plan().coldPermille()))
+                        .sum();
+        return store.planner(now).table(List.of()).roomNow(floor.name()) + returning;
+    }
+
+    /**
+     * Keeps every plan that still holds; moves, and says so, only what cannot stay where it was.
+     */
+    private void replan(long now) {
+        Planner planner = store.planner(now);
+        List<Window> waiting = store.inState(s -> s == State.PLANNED || s == State.PUT_OFF);
+        CapacityTable table = planner.table(waiting);
+        Map<Long, Window> known = new LinkedHashMap<>();
+        store.inState(s -> !s.waits()).forEach(w -> known.put(w.id(), w));
+        List<Window> displaced = new ArrayList<>();
+        for (Window window : waiting.stream().sorted(MOST_URGENT_FIRST).toList()) {
+            if (mayStay(window, table, known, now)) {
+                table.add(window, now, 1);
+                known.put(window.id(), window);
+            } else {
+                displaced.add(window);
+            }
+        }
+        displaced.forEach(window -> place(planner, table, known, window, now));
+    }
+
+    private boolean mayStay(Window window, CapacityTable table, Map<Long, Window> known, long now) {
+        return window.state() == State.PLANNED
+                && !missed(window, now)
+                && window.wish().after().stream().allMatch(id -> over(id, window.start(), known))
+                && table.conflict(window, Math.max(now, window.start()), now) == null;
+    }
+
+    private static boolean over(long id, long by, Map<Long, Window> known) {
+        Window first = known.get(id);
+        return first != null
+                && (first.state() == State.DONE
+                        || first.plannedEnd() <= by
+                                && (first.state() == State.PLANNED
+                                        || first.state().takesCapacity()));
+    }
+
+    private void place(
+            Planner planner,
+            CapacityTable table,
+            Map<Long, Window> known,
+            Window window,
+            long now) {
+        Window placed = planner.one(table, window, known, known);
+        if (window.state() == State.PLANNED && placed.start() != window.start()) {
+            String why = "moved from " + window.start() + ": " + placed.why();
+            placed = placed.to(placed.state(), now, why);
+        }
+        store.put(placed);
+        known.put(placed.id(), placed);
+        if (placed.state() == State.PLANNED) {
+            table.add(placed, now, 1);
+        }
+    }
+
+    private void forgetOld() {
+        List<Window> over =
+                store.inState(s -> !s.waits() && !s.takesCapacity()).stream()
+                        .sorted(Comparator.comparingLong(Window::since))
+                        .toList();
+        over.stream().limit(Math.max(0, over.size() - MAX_OVER)).forEach(w -> store.remove(w.id()));
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/window/WindowRequest.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/WindowRequest.java
@@ -1,9 +1,10 @@
 package saltstage.coordinator.window;
 
 import java.util.List;
+import java.util.TreeSet;
 
 /**
- * What an operator wants done.
+ * A request for a maintenance window.
  *
  * @param nodes those of the region that shall be out
  * @param drainMs how long moving their connections out may take
@@ -17,7 +18,7 @@
  * @param after windows that must be over before it begins
  * @param apart never at the same time as another window that has one of these words
  * @param by who asks
- * @param purpose what for; the same wish for the same purpose is the same window
+ * @param purpose what for; the same nodes for the same purpose are the same window
  */
 public record WindowRequest(
         String region,
@@ -39,16 +40,36 @@
         return drainMs + workMs + warmMs;
     }
 
-    WindowRequest of(List<String> some) {
+    /** The same for some of the nodes only. */
+    WindowRequest withNodes(List<String> some) {
         return new WindowRequest(
                 region, some, drainMs, workMs, warmMs, earliest, latest, priority, emergency, split,
                 after, apart, by, purpose);
     }
 
+    /** The same as a whole, with so much more time until it must be over. */
+    WindowRequest withMoreTime(long moreMs) {
+        return new WindowRequest(
+                region,
+                nodes,
+                drainMs,
+                workMs,
+                warmMs,
+                earliest,
+                latest + moreMs,
+                priority,
+                emergency,
+                false,
+                after,
+                apart,
+                by,
+                purpose);
+    }
+
+    /** Whether it asks for the same nodes for the same purpose. */
     boolean sameAs(WindowRequest other) {
         return region.equals(other.region)
                 && purpose.equals(other.purpose)
-                && List.copyOf(new java.util.TreeSet<>(nodes))
-                        .equals(List.copyOf(new java.util.TreeSet<>(other.nodes)));
+                && new TreeSet<>(nodes).equals(new TreeSet<>(other.nodes));
     }
 }
