Split the leases by job

LeaseEntry is one lease with its queue and claim, LeaseDeadlines what time changes next, LeaseRequestValidator the checks; Leases stays the way in.

--- a/coordinator/src/main/java/saltstage/coordinator/lease/Leases.java
+++ b/coordinator/src/main/java/saltstage/coordinator/lease/Leases.java
@@ -1,12 +1,10 @@
 package saltstage.coordinator.lease;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import saltstage.coordinator.lease.LeaseCommands.Acquire;
 import saltstage.coordinator.lease.LeaseCommands.Release;
 import saltstage.coordinator.lease.LeaseCommands.Renew;
@@ -32,14 +30,13 @@
     public static final long CLAIM_MS = 1_500;
 
     /** The shortest span of a lease: below it, one slow disk write costs it. */
-    public static final long LEAST_TTL_MS = 500;
+    public static final long MIN_TTL_MS = 500;
 
     /** The longest span of a lease: a dead holder keeps the others out for so long. */
-    public static final long MOST_TTL_MS = 3_600_000;
+    public static final long MAX_TTL_MS = 3_600_000;
 
-    static final int MOST_LEASES = 200_000;
-    static final int MOST_WAITERS = 1_000;
-    static final int MOST_NAME = 200;
+    private static final int MAX_LEASES = 200_000;
+    private static final int MAX_WAITERS = 1_000;
 
     /**
      * Who holds a lease, under which fence, until when, and who waits; what a snapshot keeps of it.
@@ -61,79 +58,31 @@
     /** What a snapshot keeps. */
     public record Image(long fences, long orders, long revisions, List<Row> rows) {}
 
-    private record Due(long at, String name) {}
-
-    private static final class Lease {
-        private String owner;
-        private long fence;
-        private long ttl;
-        private long expires;
-        private long revision;
-        private String claimant;
-        private long claimUntil;
-        private final TreeSet<Waiter> waiters =
-                new TreeSet<>(
-                        Comparator.comparingInt((Waiter w) -> -w.priority())
-                                .thenComparingLong(Waiter::order));
-        private Due due;
-
-        private Waiter waiter(String who) {
-            return waiters.stream().filter(w -> w.owner().equals(who)).findFirst().orElse(null);
-        }
-
-        private boolean idle() {
-            return owner == null && waiters.isEmpty();
-        }
-    }
-
-    private final Map<String, Lease> leases = new TreeMap<>();
-    private final TreeSet<Due> dues =
-            new TreeSet<>(Comparator.comparingLong(Due::at).thenComparing(Due::name));
-    private long fences;
-    private long orders;
-    private long revisions;
+    private final TreeMap<String, LeaseEntry> leases = new TreeMap<>();
+    private final LeaseDeadlines deadlines = new LeaseDeadlines();
+    private long lastFence;
+    private long lastOrder;
+    private long lastRevision;
 
     /** Nobody holds anything. */
     public Leases() {}
 
     /** As a snapshot has it. */
     public Leases(Image image) {
-        fences = image.fences();
-        orders = image.orders();
-        revisions = image.revisions();
+        lastFence = image.fences();
+        lastOrder = image.orders();
+        lastRevision = image.revisions();
         for (Row row : image.rows()) {
-            Lease lease = new Lease();
-            lease.owner = row.owner();
-            lease.fence = row.fence();
-            lease.ttl = row.ttlMs();
-            lease.expires = row.expires();
-            lease.revision = row.revision();
-            lease.claimant = row.claimant();
-            lease.claimUntil = row.claimUntil();
-            lease.waiters.addAll(row.waiters());
+            LeaseEntry lease = new LeaseEntry(row);
             leases.put(row.name(), lease);
-            plan(row.name(), lease);
+            keep(lease);
         }
     }
 
     /** What a snapshot keeps; equal states give equal images. */
     public Image image() {
-        List<Row> rows = new ArrayList<>();
-        leases.forEach((name, lease) -> rows.add(row(name, lease)));
-        return new Image(fences, orders, revisions, rows);
-    }
-
-    private static Row row(String name, Lease lease) {
-        return new Row(
-                name,
-                lease.owner,
-                lease.fence,
-                lease.ttl,
-                lease.expires,
-                lease.revision,
-                List.copyOf(lease.waiters),
-                lease.claimant,
-                lease.claimUntil);
+        List<Row> rows = leases.values().stream().map(LeaseEntry::row).toList();
+        return new Image(lastFence, lastOrder, lastRevision, rows);
     }
 
     /**
@@ -141,12 +90,12 @@
      * nothing of.
      */
     public void skipFences(long upTo) {
-        fences = Math.max(fences, upTo);
+        lastFence = Math.max(lastFence, upTo);
     }
 
     /** The last fence that was given out. */
     public long fences() {
-        return fences;
+        return lastFence;
     }
 
     /** How many are held or waited for. */
@@ -156,236 +105,164 @@
 
     /** When time next changes something by itself; {@link Long#MAX_VALUE}: never. */
     public long nextDue() {
-        return dues.isEmpty() ? Long.MAX_VALUE : dues.first().at();
+        return deadlines.next();
     }
 
     /** A lease as it stands, or null where nobody holds it or waits for it. */
     public Row find(String name) {
-        Lease lease = leases.get(name);
-        return lease == null ? null : row(name, lease);
+        LeaseEntry lease = leases.get(name);
+        return lease == null ? null : lease.row();
     }
 
     /** Those whose names begin so, in order of their names, so many at most. */
     public List<Row> list(String prefix, int most) {
-        List<Row> rows = new ArrayList<>();
-        for (Map.Entry<String, Lease> entry :
-                ((TreeMap<String, Lease>) leases).tailMap(prefix).entrySet()) {
-            if (!entry.getKey().startsWith(prefix) || rows.size() == most) {
-                break;
-            }
-            rows.add(row(entry.getKey(), entry.getValue()));
-        }
-        return rows;
+        return leases.tailMap(prefix).values().stream()
+                .takeWhile(lease -> lease.name().startsWith(prefix))
+                .limit(most)
+                .map(LeaseEntry::row)
+                .toList();
     }
 
     /** Whether this owner holds this lease under this fence now. */
     public boolean holds(String name, String owner, long fence, long now) {
-        Lease lease = leases.get(name);
+        LeaseEntry lease = leases.get(name);
         return lease != null
-                && owner.equals(lease.owner)
-                && lease.fence == fence
-                && now < lease.expires;
+                && lease.heldBy(owner)
+                && lease.fence() == fence
+                && now < lease.expires();
     }
 
-    // ---- time
-
     /** Lets everything happen that is due by now. */
     public void advance(long now) {
-        while (!dues.isEmpty() && dues.first().at() <= now) {
-            Due due = dues.pollFirst();
-            Lease lease = leases.get(due.name());
-            lease.due = null;
-            if (lease.owner != null && lease.expires <= now) {
-                free(lease);
-            }
-            lease.waiters.removeIf(w -> w.until() <= now);
-            if (lease.claimant != null
-                    && lease.claimUntil <= now) { // it had its turn and did not come
-                lease.waiters.removeIf(w -> w.owner().equals(lease.claimant));
-                lease.claimant = null;
+        for (String due = deadlines.pollDue(now); due != null; due = deadlines.pollDue(now)) {
+            LeaseEntry lease = leases.get(due);
+            if (lease.held() && lease.expires() <= now) {
+                lease.free(++lastRevision);
             }
+            lease.dropSilent(now);
             offer(lease, now);
-            plan(due.name(), lease);
+            keep(lease);
         }
     }
 
-    private void free(Lease lease) {
-        lease.owner = null;
-        lease.fence = 0;
-        lease.expires = 0;
-        lease.revision = ++revisions;
-    }
-
     /** A free lease is kept for the first that waits. */
-    private void offer(Lease lease, long now) {
-        if (lease.owner == null && lease.claimant == null && !lease.waiters.isEmpty()) {
-            lease.claimant = lease.waiters.first().owner();
-            lease.claimUntil = now + CLAIM_MS;
-            lease.revision = ++revisions;
+    private void offer(LeaseEntry lease, long now) {
+        if (lease.canBeOffered()) {
+            lease.offer(now + CLAIM_MS, ++lastRevision);
         }
     }
 
-    /**
-     * Plans the next moment at which time changes this lease, and forgets one that is nothing any
-     * more.
-     */
-    private void plan(String name, Lease lease) {
-        if (lease.due != null) {
-            dues.remove(lease.due);
-            lease.due = null;
-        }
+    /** Plans a lease's next deadline, or forgets it where nobody holds it or waits any more. */
+    private void keep(LeaseEntry lease) {
         if (lease.idle()) {
-            leases.remove(name);
-            return;
+            deadlines.remove(lease.name());
+            leases.remove(lease.name());
+        } else {
+            deadlines.set(lease.name(), lease.nextDeadline());
         }
-        long at = lease.owner != null ? lease.expires : Long.MAX_VALUE;
-        at = lease.claimant != null ? Math.min(at, lease.claimUntil) : at;
-        for (Waiter waiter : lease.waiters) {
-            at = Math.min(at, waiter.until());
-        }
-        lease.due = new Due(at, name);
-        dues.add(lease.due);
     }
 
-    // ---- commands
-
-    /** Wants one. */
-    public Reply acquire(Acquire ask, long now) {
+    /** Grants a lease, or says who holds it and how many wait. */
+    public Reply acquire(Acquire request, long now) {
         advance(now);
-        Refused bad = checked(ask);
-        if (bad != null) {
-            return bad;
+        Refused malformed = LeaseRequestValidator.refusal(request);
+        if (malformed != null) {
+            return malformed;
         }
-        Lease lease = leases.computeIfAbsent(ask.name(), any -> new Lease());
-        if (lease.owner != null && lease.owner.equals(ask.owner())) {
-            return grant(ask, lease, now, lease.fence);
+        LeaseEntry lease = leases.computeIfAbsent(request.name(), LeaseEntry::new);
+        if (lease.heldBy(request.owner())) {
+            return grant(request, lease, now, lease.fence());
         }
-        boolean first =
-                lease.owner == null
-                        && (lease.claimant == null
-                                ? lease.waiters.isEmpty()
-                                : lease.claimant.equals(ask.owner()));
-        if (first) {
-            return grant(ask, lease, now, ++fences);
+        if (lease.availableTo(request.owner())) {
+            return grant(request, lease, now, ++lastFence);
         }
-        Waiter before = lease.waiter(ask.owner());
-        if (ask.queue() && before == null && lease.waiters.size() >= MOST_WAITERS) {
-            plan(ask.name(), lease);
+        Waiter before = lease.waiter(request.owner());
+        if (request.queue() && before == null && lease.queueLength() >= MAX_WAITERS) {
+            keep(lease);
             return new Refused(
                     "queue-full",
-                    "so many wait for " + ask.name() + " already: " + MOST_WAITERS,
-                    Math.max(1, lease.expires - now));
+                    "so many wait for " + request.name() + " already: " + MAX_WAITERS,
+                    Math.max(1, lease.expires() - now));
         }
-        requeue(ask, lease, before, now);
+        requeue(request, lease, before, now);
         offer(lease, now);
-        plan(ask.name(), lease);
-        if (ask.owner().equals(lease.claimant)) { // it was kept for nobody, and this one is first
-            return grant(ask, lease, now, ++fences);
+        keep(lease);
+        if (lease.claimedBy(request.owner())) { // it was kept for nobody, and this one is first
+            return grant(request, lease, now, ++lastFence);
         }
-        return held(ask, lease, now);
+        return held(request, lease, now);
     }
 
     /** Replaces the owner's place in the queue; its order stays while its priority does. */
-    private void requeue(Acquire ask, Lease lease, Waiter before, long now) {
-        if (before != null) {
-            lease.waiters.remove(before);
-        }
-        if (ask.queue()) {
-            boolean kept = before != null && before.priority() == ask.priority();
-            lease.waiters.add(
-                    new Waiter(
-                            ask.owner(),
-                            ask.priority(),
-                            kept ? before.order() : ++orders,
-                            now + WAITER_MS));
-        }
-    }
-
-    private static Refused checked(Acquire ask) {
-        if (ask.name() == null
-                || ask.name().isEmpty()
-                || ask.name().length() > MOST_NAME
-                || ask.name().chars().anyMatch(c -> c <= ' ' || c > '~')) {
-            return new Refused(
-                    "bad-name",
-                    "a lease's name has 1 to " + MOST_NAME + " visible ASCII characters",
-                    0);
-        }
-        if (ask.owner() == null || ask.owner().isEmpty() || ask.owner().length() > MOST_NAME) {
-            return new Refused(
-                    "bad-owner", "an owner's name has 1 to " + MOST_NAME + " characters", 0);
-        }
-        if (ask.ttlMs() < LEAST_TTL_MS || ask.ttlMs() > MOST_TTL_MS) {
-            return new Refused(
-                    "bad-ttl", "a lease lasts " + LEAST_TTL_MS + " to " + MOST_TTL_MS + " ms", 0);
+    private void requeue(Acquire request, LeaseEntry lease, Waiter before, long now) {
+        lease.removeWaiter(request.owner());
+        if (request.queue()) {
+            boolean kept = before != null && before.priority() == request.priority();
+            long order = kept ? before.order() : ++lastOrder;
+            lease.addWaiter(
+                    new Waiter(request.owner(), request.priority(), order, now + WAITER_MS));
         }
-        return null;
     }
 
-    private Reply grant(Acquire ask, Lease lease, long now, long fence) {
-        if (lease.owner == null && leases.size() > MOST_LEASES) {
-            plan(ask.name(), lease);
-            return new Refused("too-many", "the group holds " + MOST_LEASES + " leases already", 0);
-        }
-        if (lease.claimant != null && lease.claimant.equals(ask.owner())) {
-            lease.claimant = null;
+    private Reply grant(Acquire request, LeaseEntry lease, long now, long fence) {
+        if (!lease.held() && leases.size() > MAX_LEASES) {
+            keep(lease);
+            return new Refused("too-many", "the group holds " + MAX_LEASES + " leases already", 0);
         }
-        lease.waiters.removeIf(w -> w.owner().equals(ask.owner()));
-        lease.owner = ask.owner();
-        lease.fence = fence;
-        lease.ttl = ask.ttlMs();
-        // Asking again never shortens what was promised: the holder may act on either answer.
-        lease.expires = Math.max(lease.expires, now + ask.ttlMs());
-        lease.revision = ++revisions;
-        plan(ask.name(), lease);
-        return new Granted(ask.name(), fence, ask.ttlMs());
+        lease.grant(request, fence, now, ++lastRevision);
+        keep(lease);
+        return new Granted(request.name(), fence, request.ttlMs());
     }
 
-    private Held held(Acquire ask, Lease lease, long now) {
-        Waiter mine = lease.waiter(ask.owner());
-        int ahead = mine == null ? lease.waiters.size() : lease.waiters.headSet(mine).size();
-        String holder = lease.owner != null ? lease.owner : lease.claimant;
-        long until = lease.owner != null ? lease.expires : lease.claimUntil;
+    private static Held held(Acquire request, LeaseEntry lease, long now) {
+        Waiter own = lease.waiter(request.owner());
         return new Held(
-                ask.name(), holder, lease.fence, Math.max(0, until - now), mine != null, ahead);
+                request.name(),
+                lease.ownerOrClaimant(),
+                lease.fence(),
+                Math.max(0, lease.until() - now),
+                own != null,
+                lease.ahead(own));
     }
 
     /** Holds some for their span again. */
-    public Renewed renew(Renew ask, long now) {
+    public Renewed renew(Renew request, long now) {
         advance(now);
         Map<String, Long> held = new LinkedHashMap<>();
         List<String> lost = new ArrayList<>();
-        for (Map.Entry<String, Long> each : new TreeMap<>(ask.fences()).entrySet()) {
-            if (!holds(each.getKey(), ask.owner(), each.getValue(), now)) {
-                lost.add(each.getKey());
-                continue;
-            }
-            Lease lease = leases.get(each.getKey());
-            lease.expires = Math.max(lease.expires, now + lease.ttl);
-            held.put(each.getKey(), lease.ttl);
-            plan(each.getKey(), lease);
-        }
+        new TreeMap<>(request.fences())
+                .forEach(
+                        (name, fence) -> {
+                            if (holds(name, request.owner(), fence, now)) {
+                                LeaseEntry lease = leases.get(name);
+                                lease.renew(now);
+                                held.put(name, lease.ttlMs());
+                                keep(lease);
+                            } else {
+                                lost.add(name);
+                            }
+                        });
         return new Renewed(held, lost);
     }
 
     /** Gives one back; true where it was held or waited for. */
-    public boolean release(Release ask, long now) {
+    public boolean release(Release request, long now) {
         advance(now);
-        Lease lease = leases.get(ask.name());
+        LeaseEntry lease = leases.get(request.name());
         if (lease == null) {
             return false;
         }
-        boolean was = lease.waiters.removeIf(w -> w.owner().equals(ask.owner()));
-        if (ask.owner().equals(lease.claimant)) {
-            lease.claimant = null;
-            was = true;
+        boolean found = lease.removeWaiter(request.owner());
+        if (lease.claimedBy(request.owner())) {
+            lease.endClaim();
+            found = true;
         }
-        if (ask.owner().equals(lease.owner) && lease.fence == ask.fence()) {
-            free(lease);
-            was = true;
+        if (lease.heldBy(request.owner()) && lease.fence() == request.fence()) {
+            lease.free(++lastRevision);
+            found = true;
         }
         offer(lease, now);
-        plan(ask.name(), lease);
-        return was;
+        keep(lease);
+        return found;
     }
 }
