--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
@@ -0,0 +1,85 @@
+package saltstage.coordinator.api;
+
+import io.microraft.exception.CannotReplicateException;
+import io.microraft.exception.NotLeaderException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import saltstage.coordinator.replica.Replica;
+
+/**
+ * The API of a replica, without the sockets: dispatches each request to the route registered under
+ * its method and path, bounds how many are under way, and turns failures into error responses.
+ *
+ * <p>A resource has a class of its own with a method {@code routes()}; a new one is added to {@link
+ * #ApiHandler(Replica)}.
+ */
+public final class ApiHandler {
+    /** Requests beyond this many that are not answered yet are refused at once. */
+    private static final int MAX_CONCURRENT_CALLS = 20_000;
+
+    private static final long RESPONSE_TIMEOUT_MS = 5_000;
+
+    private final Map<String, Route> routes = new HashMap<>();
+    private final Replica replica;
+    private final AtomicInteger calls = new AtomicInteger();
+
+    /** A handler with the routes of all resources. */
+    public ApiHandler(Replica replica) {
+        this.replica = replica;
+        StateChanges changes = new StateChanges(replica);
+        routes.putAll(new CommandRoutes(replica, changes).routes());
+        routes.putAll(new LeaseRoutes(replica, changes).routes());
+        routes.putAll(new WindowRoutes(replica).routes());
+        routes.putAll(new AdviceRoutes(replica).routes());
+        routes.putAll(new ClusterRoutes(replica).routes());
+    }
+
+    /** Answers one request; the future never fails. */
+    CompletableFuture<ApiResponse> handle(FullHttpRequest request) {
+        if (calls.incrementAndGet() > MAX_CONCURRENT_CALLS) {
+            calls.decrementAndGet();
+            return CompletableFuture.completedFuture(
+                    ApiResponse.unavailable("busy: too many calls"));
+        }
+        return dispatch(request)
+                .exceptionally(this::errorResponse)
+                .completeOnTimeout(
+                        ApiResponse.unavailable("open: no majority has answered"),
+                        RESPONSE_TIMEOUT_MS,
+                        TimeUnit.MILLISECONDS)
+                .whenComplete((response, failure) -> calls.decrementAndGet());
+    }
+
+    private CompletableFuture<ApiResponse> dispatch(FullHttpRequest request) {
+        try {
+            ApiRequest read = ApiRequest.of(request);
+            Route route = routes.get(read.route());
+            return route != null
+                    ? route.handle(read)
+                    : CompletableFuture.completedFuture(
+                            ApiResponse.notFound("no such call: " + read.route()));
+        } catch (BadRequestException bad) {
+            return CompletableFuture.failedFuture(bad);
+        }
+    }
+
+    private ApiResponse errorResponse(Throwable thrown) {
+        boolean wrapped = thrown instanceof CompletionException && thrown.getCause() != null;
+        Throwable cause = wrapped ? thrown.getCause() : thrown;
+        if (cause instanceof BadRequestException || cause instanceof IllegalArgumentException) {
+            return ApiResponse.badRequest(cause.getMessage());
+        }
+        if (cause instanceof NotLeaderException) {
+            return ApiResponse.notLeader(replica.leaderClients());
+        }
+        if (cause instanceof CannotReplicateException) {
+            return ApiResponse.unavailable("busy: too much waits for a majority");
+        }
+        return ApiResponse.unavailable("open: " + cause.getClass().getSimpleName());
+    }
+}
