Configuration registry: checked changes by revision, with history, undo and reports

A group is to accept configuration whole or refuse it whole, with key, value and what would do. ConfigurationRegistry checks a change by its mutations only: an index counts the shards that name each backend, and what is in force already is left out.

--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ChangeValidator.java
@@ -0,0 +1,213 @@
+package saltstage.coordinator.configuration;
+
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.Entry;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.configuration.ValueRules;
+import saltstage.coordinator.configuration.ConfigurationReplies.Rejected;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/**
+ * Checks one change against the entries in force: each value by itself, and what entries name as it would be
+ * once the change is in force. Takes time by the mutations, not by the entries.
+ */
+final class ChangeValidator {
+    /** An identifier of a backend, as discovery takes it. */
+    private static final Pattern BACKEND_NAME = Pattern.compile("[!-~]{1,128}");
+
+    /** The smallest key of each kind is after this name. */
+    private static final String FIRST_NAME = "!";
+
+    private final NavigableMap<EntryKey, Entry> entries;
+    private final ShardCounts shards;
+    private final Map<EntryKey, Mutation> mutations;
+
+    /**
+     * A check of these mutations.
+     *
+     * @param entries what is in force
+     * @param shards how many shards name each backend now
+     * @param mutations by key, only those that change something
+     */
+    ChangeValidator(
+            NavigableMap<EntryKey, Entry> entries, ShardCounts shards, Map<EntryKey, Mutation> mutations) {
+        this.entries = entries;
+        this.shards = shards;
+        this.mutations = mutations;
+    }
+
+    /** The first fault by key; null where there is none. */
+    Rejected fault() {
+        boolean settings = false;
+        for (Mutation mutation : mutations.values()) {
+            Rejected fault = mutation.deletes() ? deletionFault(mutation.key()) : valueFault(mutation);
+            if (fault != null) {
+                return fault;
+            }
+            settings |= mutation.key().kind() == EntryKind.SETTING;
+        }
+        Rejected together = settings ? settingsFault() : null;
+        return together != null ? together : countFault();
+    }
+
+    private Rejected valueFault(Mutation mutation) {
+        EntryKey key = mutation.key();
+        String carried = ValueRules.fault(mutation.value());
+        if (carried != null) {
+            return rejected(RejectionCode.INVALID_VALUE, key, shown(mutation.value()), carried);
+        }
+        return switch (key.kind()) {
+            case SETTING -> settingFault(key, (EntryValue.Setting) mutation.value());
+            case BACKEND -> backendFault(key, (EntryValue.Backend) mutation.value());
+            case SHARD -> unknownBackend(key, ((EntryValue.Shard) mutation.value()).backend());
+            case SUSPENSION -> unknownBackend(key, key.name());
+        };
+    }
+
+    private static Rejected settingFault(EntryKey key, EntryValue.Setting setting) {
+        if (!SettingRules.taken(key.name())) {
+            return rejected(
+                    RejectionCode.UNKNOWN_SETTING,
+                    key,
+                    setting.text(),
+                    "relays take while they run: " + SettingRules.names());
+        }
+        TreeMap<String, String> alone = new TreeMap<>(Map.of(key.name(), setting.text()));
+        String fault = SettingRules.fault(alone);
+        return fault == null ? null : rejected(RejectionCode.INVALID_VALUE, key, setting.text(), fault);
+    }
+
+    private static Rejected backendFault(EntryKey key, EntryValue.Backend backend) {
+        if (!BACKEND_NAME.matcher(key.name()).matches()) {
+            return rejected(
+                    RejectionCode.INVALID_VALUE,
+                    key,
+                    key.name(),
+                    "an identifier of 1 to 128 visible ASCII characters would do");
+        }
+        try {
+            HostList.address(backend.address());
+            return null;
+        } catch (MalformedException bad) {
+            return rejected(
+                    RejectionCode.INVALID_VALUE,
+                    key,
+                    backend.address(),
+                    "an address in figures with a port, as 10.0.0.7:4100, would do");
+        }
+    }
+
+    private Rejected unknownBackend(EntryKey key, String backend) {
+        if (BACKEND_NAME.matcher(backend).matches()
+                && existsAfter(new EntryKey(EntryKind.BACKEND, backend))) {
+            return null;
+        }
+        return rejected(
+                RejectionCode.UNKNOWN_BACKEND,
+                key,
+                backend,
+                "the identifier of a backend that there is would do, or one that this change puts");
+    }
+
+    private Rejected deletionFault(EntryKey key) {
+        if (key.kind() != EntryKind.BACKEND) {
+            return null;
+        }
+        int left = shards.of(key.name()) + shardsAddedTo(key.name());
+        if (left > 0) {
+            return rejected(
+                    RejectionCode.IN_USE,
+                    key,
+                    "deleted",
+                    "place its " + left + " shards elsewhere first, or in the same change");
+        }
+        return existsAfter(new EntryKey(EntryKind.SUSPENSION, key.name()))
+                ? rejected(RejectionCode.IN_USE, key, "deleted", "delete suspension/" + key.name() + " with it")
+                : null;
+    }
+
+    /** By how much this change raises the number of shards that name a backend. */
+    private int shardsAddedTo(String backend) {
+        int added = 0;
+        for (Mutation mutation : mutations.values()) {
+            if (mutation.key().kind() == EntryKind.SHARD) {
+                Entry before = entries.get(mutation.key());
+                added -= before != null && names(before.value(), backend) ? 1 : 0;
+                added += !mutation.deletes() && names(mutation.value(), backend) ? 1 : 0;
+            }
+        }
+        return added;
+    }
+
+    private static boolean names(EntryValue value, String backend) {
+        return value instanceof EntryValue.Shard shard && shard.backend().equals(backend);
+    }
+
+    private boolean existsAfter(EntryKey key) {
+        Mutation mutation = mutations.get(key);
+        return mutation == null ? entries.containsKey(key) : !mutation.deletes();
+    }
+
+    /** Settings that are sound one by one may not be so together. */
+    private Rejected settingsFault() {
+        TreeMap<String, String> after = new TreeMap<>();
+        EntryKey first = new EntryKey(EntryKind.SETTING, FIRST_NAME);
+        for (Entry entry : entries.tailMap(first, true).values()) {
+            if (entry.key().kind() != EntryKind.SETTING) {
+                break;
+            }
+            after.put(entry.key().name(), ((EntryValue.Setting) entry.value()).text());
+        }
+        Mutation named = null;
+        for (Mutation mutation : mutations.values()) {
+            if (mutation.key().kind() == EntryKind.SETTING) {
+                named = named == null || named.deletes() ? mutation : named;
+                if (mutation.deletes()) {
+                    after.remove(mutation.key().name());
+                } else {
+                    after.put(mutation.key().name(), ((EntryValue.Setting) mutation.value()).text());
+                }
+            }
+        }
+        String fault = SettingRules.fault(after);
+        String value = named == null || named.deletes() ? "deleted" : shown(named.value());
+        return fault == null
+                ? null
+                : rejected(
+                        RejectionCode.INVALID_VALUE,
+                        named.key(),
+                        value,
+                        "with the other settings in force: " + fault);
+    }
+
+    private Rejected countFault() {
+        int after = entries.size();
+        for (Mutation mutation : mutations.values()) {
+            boolean before = entries.containsKey(mutation.key());
+            after += (mutation.deletes() ? 0 : 1) - (before ? 1 : 0);
+        }
+        return after <= ConfigurationLimits.ENTRIES
+                ? null
+                : new Rejected(
+                        RejectionCode.FULL,
+                        "",
+                        after + " entries",
+                        ConfigurationLimits.ENTRIES + " are kept; delete some first");
+    }
+
+    private static Rejected rejected(RejectionCode code, EntryKey key, String value, String wanted) {
+        return new Rejected(code, key.text(), value, wanted);
+    }
+
+    private static String shown(EntryValue value) {
+        return value.canonical();
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationModule.java
@@ -0,0 +1,121 @@
+package saltstage.coordinator.configuration;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import java.io.IOException;
+import saltstage.configuration.Entry;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+
+/**
+ * The form of entries and mutations in the log, in snapshots and in JSON: the one that the read API has. Member
+ * names are wire format. An unknown member is refused.
+ */
+public final class ConfigurationModule extends SimpleModule {
+    private static final long serialVersionUID = 1L;
+    private static final String KEY = "key";
+    private static final String DELETED = "deleted";
+    private static final String REVISION = "revision";
+
+    /** Registers all forms. */
+    public ConfigurationModule() {
+        super("configuration");
+        addSerializer(Mutation.class, new MutationSerializer());
+        addDeserializer(Mutation.class, new MutationDeserializer());
+        addSerializer(Entry.class, new EntrySerializer());
+        addDeserializer(Entry.class, new EntryDeserializer());
+    }
+
+    private static final class MutationSerializer extends JsonSerializer<Mutation> {
+        @Override
+        public void serialize(Mutation mutation, JsonGenerator out, SerializerProvider with)
+                throws IOException {
+            out.writeStartObject();
+            out.writeStringField(KEY, mutation.key().text());
+            if (mutation.deletes()) {
+                out.writeBooleanField(DELETED, true);
+            } else {
+                with.defaultSerializeField(mutation.key().kind().word(), mutation.value(), out);
+            }
+            out.writeEndObject();
+        }
+    }
+
+    private static final class EntrySerializer extends JsonSerializer<Entry> {
+        @Override
+        public void serialize(Entry entry, JsonGenerator out, SerializerProvider with) throws IOException {
+            out.writeStartObject();
+            out.writeStringField(KEY, entry.key().text());
+            out.writeNumberField(REVISION, entry.revision());
+            with.defaultSerializeField(entry.key().kind().word(), entry.value(), out);
+            out.writeEndObject();
+        }
+    }
+
+    private static final class MutationDeserializer extends JsonDeserializer<Mutation> {
+        @Override
+        public Mutation deserialize(JsonParser in, DeserializationContext with) throws IOException {
+            JsonNode tree = in.readValueAsTree();
+            EntryKey key = key(tree, with);
+            String word = tree.has(DELETED) ? DELETED : key.kind().word();
+            onlyMembers(tree, 2, word, with);
+            if (!word.equals(DELETED)) {
+                return new Mutation(key, value(tree, key, with));
+            }
+            if (!tree.get(DELETED).isBoolean() || !tree.get(DELETED).booleanValue()) {
+                return with.reportInputMismatch(Mutation.class, "%s: 'deleted' takes only true", key.text());
+            }
+            return new Mutation(key, null);
+        }
+    }
+
+    private static final class EntryDeserializer extends JsonDeserializer<Entry> {
+        @Override
+        public Entry deserialize(JsonParser in, DeserializationContext with) throws IOException {
+            JsonNode tree = in.readValueAsTree();
+            EntryKey key = key(tree, with);
+            onlyMembers(tree, 3, key.kind().word(), with);
+            if (!tree.path(REVISION).isIntegralNumber()) {
+                return with.reportInputMismatch(Entry.class, "%s: 'revision' is no number", key.text());
+            }
+            return new Entry(key, value(tree, key, with), tree.get(REVISION).longValue());
+        }
+    }
+
+    private static EntryKey key(JsonNode tree, DeserializationContext with) throws IOException {
+        if (!tree.path(KEY).isTextual()) {
+            return with.reportInputMismatch(EntryKey.class, "'key' takes a text");
+        }
+        try {
+            return EntryKey.parse(tree.get(KEY).textValue());
+        } catch (IllegalArgumentException bad) {
+            return with.reportInputMismatch(EntryKey.class, "'key': %s", bad.getMessage());
+        }
+    }
+
+    private static void onlyMembers(JsonNode tree, int count, String word, DeserializationContext with)
+            throws IOException {
+        if (tree.size() != count || !tree.hasNonNull(word)) {
+            with.reportInputMismatch(
+                    Mutation.class, "%s: '%s' and nothing more is taken", tree.get(KEY).textValue(), word);
+        }
+    }
+
+    private static EntryValue value(JsonNode tree, EntryKey key, DeserializationContext with)
+            throws IOException {
+        JsonNode value = tree.get(key.kind().word());
+        return switch (key.kind()) {
+            case SETTING -> with.readTreeAsValue(value, EntryValue.Setting.class);
+            case BACKEND -> with.readTreeAsValue(value, EntryValue.Backend.class);
+            case SHARD -> with.readTreeAsValue(value, EntryValue.Shard.class);
+            case SUSPENSION -> with.readTreeAsValue(value, EntryValue.Suspension.class);
+        };
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationRegistry.java
@@ -0,0 +1,213 @@
+package saltstage.coordinator.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+import saltstage.configuration.Change;
+import saltstage.configuration.ChangeHistory;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.Entry;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+import saltstage.coordinator.configuration.ConfigurationReplies.Changed;
+import saltstage.coordinator.configuration.ConfigurationReplies.Rejected;
+import saltstage.coordinator.model.Reply;
+
+/**
+ * The group's configuration as its log makes it: what is in force, the newest changes with author and time, and
+ * how many shards name each backend. A change is accepted whole or refused whole. Not thread safe.
+ */
+public final class ConfigurationRegistry {
+    private static final Pattern AUTHOR = Pattern.compile("[!-~][ -~]{0,99}");
+
+    /**
+     * What a snapshot keeps.
+     *
+     * @param digest of all entries, 16 hexadecimal digits; a snapshot whose entries have another is refused
+     * @param baseRevision the revision before the oldest change that is kept
+     * @param baseDigest the digest at that revision
+     * @param changes oldest first
+     */
+    public record Image(
+            long revision,
+            String digest,
+            List<Entry> entries,
+            long baseRevision,
+            String baseDigest,
+            List<AcceptedChange> changes) {}
+
+    /**
+     * Accepted changes as operators read them.
+     *
+     * @param revision the newest revision
+     * @param oldest the oldest revision after which changes are kept
+     * @param changes oldest first
+     */
+    public record History(long revision, long oldest, List<AcceptedChange> changes) {}
+
+    private final ConfigurationView view;
+    private final ChangeHistory history;
+    private final TreeMap<Long, AcceptedChange> accepted = new TreeMap<>();
+    private final ShardCounts shards = new ShardCounts();
+
+    /** No entries, at revision 0. */
+    public ConfigurationRegistry() {
+        view = new ConfigurationView();
+        history = new ChangeHistory(view.revision(), view.digest());
+    }
+
+    /** As a snapshot has it; throws IllegalArgumentException for one that contradicts itself. */
+    public ConfigurationRegistry(Image image) {
+        view = new ConfigurationView(image.revision(), image.entries());
+        if (view.digest() != AcceptedChange.number(image.digest())) {
+            throw new IllegalArgumentException("the configuration's digest is not that of its entries");
+        }
+        image.entries().forEach(entry -> shards.replace(null, entry.value()));
+        history = new ChangeHistory(image.baseRevision(), AcceptedChange.number(image.baseDigest()));
+        image.changes().forEach(this::remember);
+        if (history.newestRevision() != view.revision()) {
+            throw new IllegalArgumentException("the configuration's history ends at another revision");
+        }
+    }
+
+    /** What a snapshot keeps; equal states give equal images. */
+    public Image image() {
+        return new Image(
+                view.revision(),
+                ConfigurationJson.text(view.digest()),
+                List.copyOf(view.entries().values()),
+                history.baseRevision(),
+                ConfigurationJson.text(history.baseDigest()),
+                List.copyOf(accepted.values()));
+    }
+
+    /** Accepts a change, or refuses it; a refused one and one that says nothing new change nothing. */
+    public Reply change(ChangeConfiguration ask, long dayMs) {
+        Rejected fault = boundsFault(ask);
+        fault = fault != null ? fault : conflict(ask.expected());
+        if (fault != null) {
+            return fault;
+        }
+        TreeMap<EntryKey, Mutation> effective = effective(ask.mutations());
+        fault = new ChangeValidator(view.entries(), shards, effective).fault();
+        if (fault != null) {
+            return fault;
+        }
+        if (!effective.isEmpty()) {
+            accept(effective.values(), ask.author(), dayMs);
+        }
+        return new Changed(view.revision(), ConfigurationJson.text(view.digest()), effective.size());
+    }
+
+    private static Rejected boundsFault(ChangeConfiguration ask) {
+        if (!AUTHOR.matcher(ask.author()).matches()) {
+            return malformed(ask.author(), "an author of 1 to 100 visible ASCII characters would do");
+        }
+        int most = ConfigurationLimits.MUTATIONS_PER_CHANGE;
+        int mutations = ask.mutations().size();
+        if (mutations == 0 || mutations > most || ask.expected().size() > most) {
+            return malformed(
+                    mutations + " mutations, " + ask.expected().size() + " expected",
+                    "1 to " + most + " mutations and up to " + most + " expected revisions would do");
+        }
+        int bytes = ConfigurationLimits.estimatedBytes(new Change(0, 0, ask.mutations()));
+        return bytes <= ConfigurationLimits.BYTES_PER_CHANGE
+                ? null
+                : malformed(bytes + " bytes", ConfigurationLimits.BYTES_PER_CHANGE + " bytes would do");
+    }
+
+    private static Rejected malformed(String value, String wanted) {
+        return new Rejected(RejectionCode.MALFORMED, "", value, wanted);
+    }
+
+    private Rejected conflict(Map<String, Long> expected) {
+        for (Map.Entry<String, Long> condition : new TreeMap<>(expected).entrySet()) {
+            EntryKey key;
+            try {
+                key = EntryKey.parse(condition.getKey());
+            } catch (IllegalArgumentException bad) {
+                return malformed(condition.getKey(), bad.getMessage());
+            }
+            Entry entry = view.entries().get(key);
+            long revision = entry == null ? 0 : entry.revision();
+            if (revision != condition.getValue()) {
+                return new Rejected(
+                        RejectionCode.CONFLICT,
+                        key.text(),
+                        "expected at revision " + condition.getValue(),
+                        "it is at revision " + revision + "; read it again");
+            }
+        }
+        return null;
+    }
+
+    /** By key, what would change something. */
+    private TreeMap<EntryKey, Mutation> effective(List<Mutation> mutations) {
+        TreeMap<EntryKey, Mutation> byKey = new TreeMap<>();
+        mutations.forEach(mutation -> byKey.put(mutation.key(), mutation));
+        byKey.values().removeIf(this::inForce);
+        return byKey;
+    }
+
+    private boolean inForce(Mutation mutation) {
+        Entry entry = view.entries().get(mutation.key());
+        return entry == null ? mutation.deletes() : entry.value().equals(mutation.value());
+    }
+
+    private void accept(Collection<Mutation> mutations, String author, long dayMs) {
+        List<Mutation> undo = new ArrayList<>(mutations.size());
+        for (Mutation mutation : mutations) {
+            Entry before = view.entries().get(mutation.key());
+            undo.add(new Mutation(mutation.key(), before == null ? null : before.value()));
+            shards.replace(before == null ? null : before.value(), mutation.value());
+        }
+        Change change = view.accept(mutations);
+        remember(AcceptedChange.of(change, author, dayMs, List.copyOf(undo)));
+    }
+
+    private void remember(AcceptedChange change) {
+        history.append(change.change());
+        accepted.put(change.revision(), change);
+        accepted.headMap(history.baseRevision(), true).clear();
+    }
+
+    /** Accepted changes after a revision, oldest first; those that are no longer kept are left out. */
+    public History history(long after, int limit) {
+        List<AcceptedChange> some = new ArrayList<>();
+        int bytes = 0;
+        for (AcceptedChange change : accepted.tailMap(after, false).values()) {
+            if (some.size() >= limit || bytes >= ConfigurationLimits.BYTES_PER_ANSWER) {
+                break;
+            }
+            some.add(change);
+            bytes += change.estimatedBytes();
+        }
+        return new History(view.revision(), history.baseRevision(), some);
+    }
+
+    /** What a follower is answered that has this revision with this digest. */
+    public ChangeHistory.Answer after(long revision, long digest, int limit) {
+        return history.after(revision, digest, limit);
+    }
+
+    /** What is in force; it changes with this. */
+    public ConfigurationView view() {
+        return view;
+    }
+
+    /** The newest revision. */
+    public long revision() {
+        return view.revision();
+    }
+
+    /** The digest of all entries. */
+    public long digest() {
+        return view.digest();
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
@@ -0,0 +1,56 @@
+package saltstage.coordinator.configuration;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a distributor tells the leader about the followers of its zone.
+ *
+ * @param distributor its name
+ * @param zone the zone whose followers it counts
+ * @param revision the revision that it has itself
+ * @param confirmedByRevision by revision, how many followers have confirmed just that one
+ * @param followers how many there are
+ * @param behind those that are behind, at most {@link #NAMED}, longest first
+ */
+public record FollowerReport(
+        String distributor,
+        String zone,
+        long revision,
+        Map<Long, Integer> confirmedByRevision,
+        int followers,
+        List<Behind> behind) {
+    /** Most followers that a report names. */
+    public static final int NAMED = 100;
+
+    private static final int LONGEST_NAME = 100;
+    private static final int MOST_REVISIONS = 10_000;
+
+    /**
+     * A follower that is behind the newest revision of its distributor.
+     *
+     * @param revision what it has confirmed last
+     * @param sinceMs for how long it has been behind, milliseconds
+     */
+    public record Behind(String follower, long revision, long sinceMs) {}
+
+    /** Why the report cannot be taken, as one sentence; null where it can. */
+    public String fault() {
+        if (!name(distributor) || !name(zone) || behind.stream().anyMatch(one -> !name(one.follower()))) {
+            return "'distributor', 'zone' and 'follower' take up to " + LONGEST_NAME + " visible characters";
+        }
+        if (behind.size() > NAMED || confirmedByRevision.size() > MOST_REVISIONS) {
+            return "at most " + NAMED + " followers and " + MOST_REVISIONS + " revisions are named";
+        }
+        boolean negative =
+                followers < 0
+                        || revision < 0
+                        || confirmedByRevision.values().stream().anyMatch(count -> count < 0)
+                        || behind.stream().anyMatch(one -> one.revision() < 0 || one.sinceMs() < 0);
+        return negative ? "counts, revisions and spans are 0 or more" : null;
+    }
+
+    private static boolean name(String text) {
+        return text.matches("[!-~]{1," + LONGEST_NAME + "}");
+    }
+}
