--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/ConfigurationJsonTest.java
@@ -0,0 +1,147 @@
+package saltstage.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import saltstage.wire.MalformedException;
+
+/** The read API's JSON: what is written is read again, and what is malformed is refused whole. */
+class ConfigurationJsonTest {
+    private static final String CHANGES =
+            "{\"revision\":1,\"digest\":\"0000000000000001\",\"changes\":[{\"revision\":1,"
+                    + "\"digest\":\"0000000000000001\",\"mutations\":[%s]}]}";
+    private static final String BACKEND =
+            "{\"key\":\"backend/gw-4\",\"backend\":{\"address\":\"10.0.0.7:4100\",\"zone\":\"a1\","
+                    + "\"cell\":3,\"state\":\"READY\",\"weight\":1.5,\"startedAtMs\":0}}";
+
+    @Test
+    void mutationsOfEachKindAreReadAsTheyWereWritten() throws MalformedException {
+        List<Mutation> mutations =
+                List.of(
+                        mutation("setting/log.level", new EntryValue.Setting("\"info\\\u00e9\"")),
+                        mutation("backend/gw-4", backend(1e-9)),
+                        mutation("backend/gw-5", backend(1e12)),
+                        mutation("shard/topic-7/3", new EntryValue.Shard("gw-4")),
+                        mutation("suspension/gw-4", new EntryValue.Suspension("disk \ud83d\udca5")),
+                        mutation("shard/topic-7/4", null));
+        Change change = new Change(9, -2, mutations);
+        ChangesResponse response = new ChangesResponse(9, -2, List.of(change));
+        assertEquals(response, ConfigurationJson.changes(ConfigurationJson.text(response)));
+        assertEquals(mutations, ConfigurationJson.mutations(ConfigurationJson.text(mutations)));
+        ErrorResponse error = new ErrorResponse(ErrorResponse.BUSY, 0, 250);
+        assertEquals(error, ConfigurationJson.error(ConfigurationJson.text(error)));
+    }
+
+    private static Mutation mutation(String key, EntryValue value) {
+        return new Mutation(EntryKey.parse(key), value);
+    }
+
+    private static EntryValue backend(double weight) {
+        return new EntryValue.Backend(
+                "10.0.0.7:4100", "", 0, EntryValue.BackendState.DRAINING, weight, 1L << 41);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '~',
+            quoteCharacter = '`',
+            value = {
+                "{\"key\":\"planet/x\",\"deleted\":true} ~ mutations[0].key",
+                "{\"key\":\"shard/t/1\",\"deleted\":false} ~ deleted takes only true",
+                "{\"key\":\"shard/t/1\"} ~ mutations[0].shard is missing",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":7}} ~ backend takes a text",
+                "{\"key\":\"shard/t/1\",\"setting\":{\"text\":\"1\"}} ~ shard is missing",
+                "{\"key\":\"shard/t/1\",\"deleted\":true,\"shard\":{}} ~ unknown member 'shard'",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":\"a\",\"x\":1}} ~ unknown member 'x'",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":\"a b\"}} ~ 'backend' takes",
+                "{\"key\":\"suspension/a\",\"suspension\":{\"reason\":\"\\ud800\"}} ~ 'reason' takes",
+                "[] ~ mutations[0] is not an object",
+            })
+    void malformedMutationIsRefusedWithItsPlace(String mutation, String place) {
+        String text = String.format(CHANGES, mutation);
+        String why =
+                assertThrows(MalformedException.class, () -> ConfigurationJson.changes(text))
+                        .getMessage();
+        assertTrue(why.contains(place), why);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '~',
+            quoteCharacter = '`',
+            value = {
+                "\"weight\":1.5 ~ \"weight\":-1",
+                "\"weight\":1.5 ~ \"weight\":1e999",
+                "\"cell\":3 ~ \"cell\":3.5",
+                "\"cell\":3 ~ \"cell\":4294967296",
+                "READY ~ ready",
+                "\"startedAtMs\":0 ~ \"startedAtMs\":9007199254740993",
+                "\"zone\":\"a1\" ~ \"zone\":\"a|1\"",
+                "\"zone\":\"a1\", ~ ` `",
+            })
+    void malformedBackendIsRefused(String good, String bad) throws MalformedException {
+        ConfigurationJson.changes(String.format(CHANGES, BACKEND));
+        String text = String.format(CHANGES, BACKEND.replace(good, bad));
+        assertThrows(MalformedException.class, () -> ConfigurationJson.changes(text));
+    }
+
+    @Test
+    void tooMuchOfAnythingIsRefused() {
+        String one = "{\"key\":\"shard/t/1\",\"deleted\":true}";
+        int most = ConfigurationLimits.MUTATIONS_PER_CHANGE;
+        String many = String.join(",", java.util.Collections.nCopies(most + 1, one));
+        String text = String.format(CHANGES, many);
+        assertThrows(MalformedException.class, () -> ConfigurationJson.changes(text));
+        String name = "x".repeat(161);
+        String longKey = String.format(CHANGES, one.replace("t/1", name));
+        assertThrows(MalformedException.class, () -> ConfigurationJson.changes(longKey));
+    }
+
+    @Property(tries = 3_000)
+    void alteredTextNeverChangesAViewByHalf(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 3) int edits) {
+        ConfigurationView writer = new ConfigurationView();
+        Change change =
+                writer.accept(
+                        List.of(
+                                mutation("shard/topic-7/3", new EntryValue.Shard("gw-4")),
+                                mutation("backend/gw-4", backend(2))));
+        String text =
+                ConfigurationJson.text(new ChangesResponse(1, writer.digest(), List.of(change)));
+        ConfigurationView follower = new ConfigurationView();
+        try {
+            ConfigurationJson.changes(altered(text, new Random(seed), edits))
+                    .changes()
+                    .forEach(follower::apply);
+        } catch (MalformedException refused) {
+            assertEquals(0, follower.revision());
+        }
+        boolean whole = follower.entries().equals(writer.entries()) && follower.revision() == 1;
+        assertTrue(whole || follower.revision() == 0 && follower.entries().isEmpty());
+    }
+
+    private static String altered(String text, Random random, int edits) {
+        StringBuilder altered = new StringBuilder(text);
+        String drawn = "{}[]\",:0123456789abcdeftrue\\u-+. \u0000\ud800";
+        for (int i = 0; i < edits && !altered.isEmpty(); i++) {
+            int at = random.nextInt(altered.length());
+            char c = drawn.charAt(random.nextInt(drawn.length()));
+            switch (random.nextInt(4)) {
+                case 0 -> altered.deleteCharAt(at);
+                case 1 -> altered.insert(at, c);
+                case 2 -> altered.setLength(Math.max(1, at));
+                default -> altered.setCharAt(at, c);
+            }
+        }
+        return altered.toString();
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/ConfigurationViewTest.java
@@ -0,0 +1,57 @@
+package saltstage.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Changes are applied in order, once and only with their digest. */
+class ConfigurationViewTest {
+    private static final EntryKey SHARD = EntryKey.parse("shard/topic-7/3");
+    private static final EntryKey OTHER = EntryKey.parse("shard/topic-7/4");
+
+    private final ConfigurationView writer = new ConfigurationView();
+    private final ConfigurationView follower = new ConfigurationView();
+
+    private Change place(EntryKey shard, String backend) {
+        return writer.accept(List.of(new Mutation(shard, new EntryValue.Shard(backend))));
+    }
+
+    @Test
+    void gapIsToldAsGapAndChangesNothing() {
+        place(SHARD, "gw-1");
+        Change second = place(OTHER, "gw-2");
+        assertEquals(ConfigurationView.Outcome.GAP, follower.apply(second));
+        Change emptyButWithAGap = new Change(2, EntryDigest.EMPTY, List.of());
+        assertEquals(ConfigurationView.Outcome.GAP, follower.apply(emptyButWithAGap));
+        assertEquals(0, follower.revision());
+    }
+
+    @Test
+    void changeWithAnotherDigestIsRefusedAndChangesNothing() {
+        Change first = place(SHARD, "gw-1");
+        Change altered = new Change(1, first.digest() + 1, first.mutations());
+        assertEquals(ConfigurationView.Outcome.DIVERGED, follower.apply(altered));
+        assertEquals(0, follower.entries().size());
+        assertEquals(0, follower.revision());
+        assertEquals(ConfigurationView.Outcome.APPLIED, follower.apply(first));
+        assertEquals(ConfigurationView.Outcome.ALREADY_APPLIED, follower.apply(first));
+        assertEquals(writer.entries(), follower.entries());
+    }
+
+    @Test
+    void digestIsOfTheEntriesAloneAndOfTheirRevisions() {
+        place(SHARD, "gw-1");
+        long before = writer.digest();
+        place(OTHER, "gw-1");
+        writer.accept(List.of(new Mutation(OTHER, null)));
+        assertEquals(before, writer.digest());
+        ConfigurationView rebuilt =
+                new ConfigurationView(writer.revision(), writer.entries().values());
+        assertEquals(before, rebuilt.digest());
+        place(SHARD, "gw-2");
+        place(SHARD, "gw-1");
+        assertNotEquals(before, writer.digest());
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/FollowerConvergenceTest.java
@@ -0,0 +1,171 @@
+package saltstage.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import saltstage.wire.MalformedException;
+
+/**
+ * Any order of writes, answers that are late, lost or doubled, snapshots in pages and reconnects:
+ * at each moment a follower has what the writer had at the same revision, and in the end what it
+ * has now.
+ */
+class FollowerConvergenceTest {
+    private static final int STEPS = 120;
+    private static final int KEYS = 12;
+    private static final int CHANGES_KEPT = 6;
+
+    /** The writer's side, and all that it ever was. */
+    private static final class Source {
+        final ConfigurationView view = new ConfigurationView();
+        final ChangeHistory history =
+                new ChangeHistory(0, EntryDigest.EMPTY, CHANGES_KEPT, 1 << 20);
+        final SnapshotPager pager = new SnapshotPager();
+        final Map<Long, Map<EntryKey, Entry>> past = new HashMap<>();
+
+        Source() {
+            past.put(0L, Map.of());
+        }
+
+        void write(Random random) {
+            List<Mutation> mutations = new ArrayList<>();
+            for (int i = random.nextInt(4); i >= 0; i--) {
+                EntryKey key = new EntryKey(EntryKind.SHARD, "t/" + random.nextInt(KEYS));
+                EntryValue value = new EntryValue.Shard("gw-" + random.nextInt(3));
+                mutations.add(new Mutation(key, random.nextInt(4) == 0 ? null : value));
+            }
+            history.append(view.accept(mutations));
+            past.put(view.revision(), new TreeMap<>(view.entries()));
+        }
+
+        /** An answer's text, or null where the follower is told to take a snapshot. */
+        String changesAfter(ConfigurationView follower, int limit) {
+            ChangeHistory.Answer answer =
+                    history.after(follower.revision(), follower.digest(), limit);
+            return answer instanceof ChangeHistory.Changes found
+                    ? ConfigurationJson.text(
+                            new ChangesResponse(view.revision(), view.digest(), found.changes()))
+                    : null;
+        }
+    }
+
+    /**
+     * The follower's side: answers that are still on their way, and a snapshot that is under way.
+     */
+    private static final class Follower {
+        ConfigurationView view = new ConfigurationView();
+        final List<String> onTheirWay = new ArrayList<>();
+        final List<Entry> pages = new ArrayList<>();
+        SnapshotPage last;
+
+        void take(String answer) throws MalformedException {
+            for (Change change : ConfigurationJson.changes(answer).changes()) {
+                view.apply(change);
+            }
+        }
+
+        void nextPage(Source source, int limit) throws MalformedException {
+            long revision = last == null ? SnapshotPager.NEWEST : last.revision();
+            EntryKey from = last == null ? null : last.next();
+            SnapshotPage page = source.pager.page(source.view, revision, from, limit);
+            if (page == null) {
+                last = null;
+                pages.clear();
+                return;
+            }
+            last = ConfigurationJson.snapshotPage(ConfigurationJson.text(page));
+            pages.addAll(last.entries());
+            if (last.next() == null) {
+                install();
+            }
+        }
+
+        private void install() {
+            ConfigurationView whole = new ConfigurationView(last.revision(), pages);
+            assertEquals(last.digest(), whole.digest(), "all pages are of one revision");
+            view = whole.revision() >= view.revision() ? whole : view;
+            last = null;
+            pages.clear();
+        }
+    }
+
+    @Property(tries = 500)
+    void followerHasWhatTheWriterHadAtItsRevision(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 4) int limit)
+            throws MalformedException {
+        Random random = new Random(seed);
+        Source source = new Source();
+        Follower follower = new Follower();
+        for (int step = 0; step < STEPS; step++) {
+            step(source, follower, random, limit);
+            assertEquals(
+                    source.past.get(follower.view.revision()),
+                    follower.view.entries(),
+                    "at revision " + follower.view.revision());
+        }
+        follower.onTheirWay.clear();
+        for (int i = 0; i < STEPS && follower.view.revision() < source.view.revision(); i++) {
+            String answer = source.changesAfter(follower.view, limit);
+            if (answer == null) {
+                follower.nextPage(source, limit);
+            } else {
+                follower.take(answer);
+            }
+        }
+        assertEquals(source.view.entries(), follower.view.entries());
+        assertEquals(source.view.digest(), follower.view.digest());
+    }
+
+    private static void step(Source source, Follower follower, Random random, int limit)
+            throws MalformedException {
+        switch (random.nextInt(6)) {
+            case 0, 1 -> source.write(random);
+            case 2 -> {
+                String answer = source.changesAfter(follower.view, limit);
+                if (answer == null) {
+                    follower.nextPage(source, limit);
+                } else {
+                    follower.onTheirWay.add(answer);
+                }
+            }
+            case 3 -> {
+                if (!follower.onTheirWay
+                        .isEmpty()) { // late, out of order, and perhaps once more later
+                    int which = random.nextInt(follower.onTheirWay.size());
+                    follower.take(follower.onTheirWay.get(which));
+                    if (random.nextBoolean()) {
+                        follower.onTheirWay.remove(which);
+                    }
+                }
+            }
+            case 4 -> follower.nextPage(source, limit);
+            default -> follower.onTheirWay.removeIf(lost -> random.nextInt(3) == 0);
+        }
+    }
+
+    @Property(tries = 100)
+    void snapshotsArePagedAtOneRevisionAndOnlyTheNewestTwoAreHeld(@ForAll long seed) {
+        Random random = new Random(seed);
+        Source source = new Source();
+        List<Long> asked = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            source.write(random);
+            asked.add(source.pager.page(source.view, SnapshotPager.NEWEST, null, 1).revision());
+        }
+        for (int i = 0; i < asked.size(); i++) {
+            SnapshotPage page = source.pager.page(source.view, asked.get(i), null, 5_000);
+            assertEquals(i < asked.size() - 2, page == null, "snapshot " + asked.get(i));
+            assertTrue(
+                    page == null || page.entries().size() == source.past.get(asked.get(i)).size());
+        }
+    }
+}
