--- a/coordinator/src/main/java/saltstage/coordinator/configuration/AcceptedChange.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/AcceptedChange.java
@@ -16,10 +16,16 @@
  * @param undo mutations that bring its keys back to what they said before it
  */
 public record AcceptedChange(
-        long revision, String digest, String author, long dayMs, List<Mutation> mutations, List<Mutation> undo) {
+        long revision,
+        String digest,
+        String author,
+        long dayMs,
+        List<Mutation> mutations,
+        List<Mutation> undo) {
     static AcceptedChange of(Change change, String author, long dayMs, List<Mutation> undo) {
         String digest = ConfigurationJson.text(change.digest());
-        return new AcceptedChange(change.revision(), digest, author, dayMs, change.mutations(), undo);
+        return new AcceptedChange(
+                change.revision(), digest, author, dayMs, change.mutations(), undo);
     }
 
     /** The change as followers get it. */
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ChangeValidator.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ChangeValidator.java
@@ -16,8 +16,8 @@
 import saltstage.wire.MalformedException;
 
 /**
- * Checks one change against the entries in force: each value by itself, and what entries name as it would be
- * once the change is in force. Takes time by the mutations, not by the entries.
+ * Checks one change against the entries in force: each value by itself, and what entries name as it
+ * would be once the change is in force. Takes time by the mutations, not by the entries.
  */
 final class ChangeValidator {
     /** An identifier of a backend, as discovery takes it. */
@@ -38,7 +38,9 @@
      * @param mutations by key, only those that change something
      */
     ChangeValidator(
-            NavigableMap<EntryKey, Entry> entries, ShardCounts shards, Map<EntryKey, Mutation> mutations) {
+            NavigableMap<EntryKey, Entry> entries,
+            ShardCounts shards,
+            Map<EntryKey, Mutation> mutations) {
         this.entries = entries;
         this.shards = shards;
         this.mutations = mutations;
@@ -48,7 +50,8 @@
     Rejected fault() {
         boolean settings = false;
         for (Mutation mutation : mutations.values()) {
-            Rejected fault = mutation.deletes() ? deletionFault(mutation.key()) : valueFault(mutation);
+            Rejected fault =
+                    mutation.deletes() ? deletionFault(mutation.key()) : valueFault(mutation);
             if (fault != null) {
                 return fault;
             }
@@ -82,7 +85,9 @@
         }
         TreeMap<String, String> alone = new TreeMap<>(Map.of(key.name(), setting.text()));
         String fault = SettingRules.fault(alone);
-        return fault == null ? null : rejected(RejectionCode.INVALID_VALUE, key, setting.text(), fault);
+        return fault == null
+                ? null
+                : rejected(RejectionCode.INVALID_VALUE, key, setting.text(), fault);
     }
 
     private static Rejected backendFault(EntryKey key, EntryValue.Backend backend) {
@@ -130,7 +135,11 @@
                     "place its " + left + " shards elsewhere first, or in the same change");
         }
         return existsAfter(new EntryKey(EntryKind.SUSPENSION, key.name()))
-                ? rejected(RejectionCode.IN_USE, key, "deleted", "delete suspension/" + key.name() + " with it")
+                ? rejected(
+                        RejectionCode.IN_USE,
+                        key,
+                        "deleted",
+                        "delete suspension/" + key.name() + " with it")
                 : null;
     }
 
@@ -173,7 +182,8 @@
                 if (mutation.deletes()) {
                     after.remove(mutation.key().name());
                 } else {
-                    after.put(mutation.key().name(), ((EntryValue.Setting) mutation.value()).text());
+                    after.put(
+                            mutation.key().name(), ((EntryValue.Setting) mutation.value()).text());
                 }
             }
         }
@@ -203,7 +213,8 @@
                         ConfigurationLimits.ENTRIES + " are kept; delete some first");
     }
 
-    private static Rejected rejected(RejectionCode code, EntryKey key, String value, String wanted) {
+    private static Rejected rejected(
+            RejectionCode code, EntryKey key, String value, String wanted) {
         return new Rejected(code, key.text(), value, wanted);
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationCommands.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationCommands.java
@@ -17,11 +17,12 @@
      *
      * @param author who asks, for the history; 1 to 100 visible characters
      * @param mutations of several with one key the last one counts
-     * @param expected by key, the revision at which its entry was seen last, 0 where it was absent; any other
-     *     revision refuses the change
+     * @param expected by key, the revision at which its entry was seen last, 0 where it was absent;
+     *     any other revision refuses the change
      */
     public record ChangeConfiguration(
-            String author, List<Mutation> mutations, Map<String, Long> expected) implements Command {
+            String author, List<Mutation> mutations, Map<String, Long> expected)
+            implements Command {
         @Override
         public int since() {
             return SINCE;
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationModule.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationModule.java
@@ -15,8 +15,8 @@
 import saltstage.configuration.Mutation;
 
 /**
- * The form of entries and mutations in the log, in snapshots and in JSON: the one that the read API has. Member
- * names are wire format. An unknown member is refused.
+ * The form of entries and mutations in the log, in snapshots and in JSON: the one that the read API
+ * has. Member names are wire format. An unknown member is refused.
  */
 public final class ConfigurationModule extends SimpleModule {
     private static final long serialVersionUID = 1L;
@@ -50,7 +50,8 @@
 
     private static final class EntrySerializer extends JsonSerializer<Entry> {
         @Override
-        public void serialize(Entry entry, JsonGenerator out, SerializerProvider with) throws IOException {
+        public void serialize(Entry entry, JsonGenerator out, SerializerProvider with)
+                throws IOException {
             out.writeStartObject();
             out.writeStringField(KEY, entry.key().text());
             out.writeNumberField(REVISION, entry.revision());
@@ -70,7 +71,8 @@
                 return new Mutation(key, value(tree, key, with));
             }
             if (!tree.get(DELETED).isBoolean() || !tree.get(DELETED).booleanValue()) {
-                return with.reportInputMismatch(Mutation.class, "%s: 'deleted' takes only true", key.text());
+                return with.reportInputMismatch(
+                        Mutation.class, "%s: 'deleted' takes only true", key.text());
             }
             return new Mutation(key, null);
         }
@@ -83,7 +85,8 @@
             EntryKey key = key(tree, with);
             onlyMembers(tree, 3, key.kind().word(), with);
             if (!tree.path(REVISION).isIntegralNumber()) {
-                return with.reportInputMismatch(Entry.class, "%s: 'revision' is no number", key.text());
+                return with.reportInputMismatch(
+                        Entry.class, "%s: 'revision' is no number", key.text());
             }
             return new Entry(key, value(tree, key, with), tree.get(REVISION).longValue());
         }
@@ -100,11 +103,14 @@
         }
     }
 
-    private static void onlyMembers(JsonNode tree, int count, String word, DeserializationContext with)
-            throws IOException {
+    private static void onlyMembers(
+            JsonNode tree, int count, String word, DeserializationContext with) throws IOException {
         if (tree.size() != count || !tree.hasNonNull(word)) {
             with.reportInputMismatch(
-                    Mutation.class, "%s: '%s' and nothing more is taken", tree.get(KEY).textValue(), word);
+                    Mutation.class,
+                    "%s: '%s' and nothing more is taken",
+                    tree.get(KEY).textValue(),
+                    word);
         }
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationRegistry.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationRegistry.java
@@ -20,8 +20,9 @@
 import saltstage.coordinator.model.Reply;
 
 /**
- * The group's configuration as its log makes it: what is in force, the newest changes with author and time, and
- * how many shards name each backend. A change is accepted whole or refused whole. Not thread safe.
+ * The group's configuration as its log makes it: what is in force, the newest changes with author
+ * and time, and how many shards name each backend. A change is accepted whole or refused whole. Not
+ * thread safe.
  */
 public final class ConfigurationRegistry {
     private static final Pattern AUTHOR = Pattern.compile("[!-~][ -~]{0,99}");
@@ -29,7 +30,8 @@
     /**
      * What a snapshot keeps.
      *
-     * @param digest of all entries, 16 hexadecimal digits; a snapshot whose entries have another is refused
+     * @param digest of all entries, 16 hexadecimal digits; a snapshot whose entries have another is
+     *     refused
      * @param baseRevision the revision before the oldest change that is kept
      * @param baseDigest the digest at that revision
      * @param changes oldest first
@@ -66,13 +68,16 @@
     public ConfigurationRegistry(Image image) {
         view = new ConfigurationView(image.revision(), image.entries());
         if (view.digest() != AcceptedChange.number(image.digest())) {
-            throw new IllegalArgumentException("the configuration's digest is not that of its entries");
+            throw new IllegalArgumentException(
+                    "the configuration's digest is not that of its entries");
         }
         image.entries().forEach(entry -> shards.replace(null, entry.value()));
-        history = new ChangeHistory(image.baseRevision(), AcceptedChange.number(image.baseDigest()));
+        history =
+                new ChangeHistory(image.baseRevision(), AcceptedChange.number(image.baseDigest()));
         image.changes().forEach(this::remember);
         if (history.newestRevision() != view.revision()) {
-            throw new IllegalArgumentException("the configuration's history ends at another revision");
+            throw new IllegalArgumentException(
+                    "the configuration's history ends at another revision");
         }
     }
 
@@ -87,7 +92,9 @@
                 List.copyOf(accepted.values()));
     }
 
-    /** Accepts a change, or refuses it; a refused one and one that says nothing new change nothing. */
+    /**
+     * Accepts a change, or refuses it; a refused one and one that says nothing new change nothing.
+     */
     public Reply change(ChangeConfiguration ask, long dayMs) {
         Rejected fault = boundsFault(ask);
         fault = fault != null ? fault : conflict(ask.expected());
@@ -102,24 +109,31 @@
         if (!effective.isEmpty()) {
             accept(effective.values(), ask.author(), dayMs);
         }
-        return new Changed(view.revision(), ConfigurationJson.text(view.digest()), effective.size());
+        return new Changed(
+                view.revision(), ConfigurationJson.text(view.digest()), effective.size());
     }
 
     private static Rejected boundsFault(ChangeConfiguration ask) {
         if (!AUTHOR.matcher(ask.author()).matches()) {
-            return malformed(ask.author(), "an author of 1 to 100 visible ASCII characters would do");
+            return malformed(
+                    ask.author(), "an author of 1 to 100 visible ASCII characters would do");
         }
         int most = ConfigurationLimits.MUTATIONS_PER_CHANGE;
         int mutations = ask.mutations().size();
         if (mutations == 0 || mutations > most || ask.expected().size() > most) {
             return malformed(
                     mutations + " mutations, " + ask.expected().size() + " expected",
-                    "1 to " + most + " mutations and up to " + most + " expected revisions would do");
+                    "1 to "
+                            + most
+                            + " mutations and up to "
+                            + most
+                            + " expected revisions would do");
         }
         int bytes = ConfigurationLimits.estimatedBytes(new Change(0, 0, ask.mutations()));
         return bytes <= ConfigurationLimits.BYTES_PER_CHANGE
                 ? null
-                : malformed(bytes + " bytes", ConfigurationLimits.BYTES_PER_CHANGE + " bytes would do");
+                : malformed(
+                        bytes + " bytes", ConfigurationLimits.BYTES_PER_CHANGE + " bytes would do");
     }
 
     private static Rejected malformed(String value, String wanted) {
@@ -177,7 +191,9 @@
         accepted.headMap(history.baseRevision(), true).clear();
     }
 
-    /** Accepted changes after a revision, oldest first; those that are no longer kept are left out. */
+    /**
+     * Accepted changes after a revision, oldest first; those that are no longer kept are left out.
+     */
     public History history(long after, int limit) {
         List<AcceptedChange> some = new ArrayList<>();
         int bytes = 0;
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationReplies.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ConfigurationReplies.java
@@ -23,7 +23,8 @@
      * @param value what was asked for
      * @param wanted what would do
      */
-    public record Rejected(RejectionCode code, String key, String value, String wanted) implements Reply {
+    public record Rejected(RejectionCode code, String key, String value, String wanted)
+            implements Reply {
         /** One sentence for people. */
         public String sentence() {
             return (key.isEmpty() ? "" : key + ": ") + "'" + value + "' is not accepted; " + wanted;
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
@@ -36,8 +36,12 @@
 
     /** Why the report cannot be taken, as one sentence; null where it can. */
     public String fault() {
-        if (!name(distributor) || !name(zone) || behind.stream().anyMatch(one -> !name(one.follower()))) {
-            return "'distributor', 'zone' and 'follower' take up to " + LONGEST_NAME + " visible characters";
+        if (!name(distributor)
+                || !name(zone)
+                || behind.stream().anyMatch(one -> !name(one.follower()))) {
+            return "'distributor', 'zone' and 'follower' take up to "
+                    + LONGEST_NAME
+                    + " visible characters";
         }
         if (behind.size() > NAMED || confirmedByRevision.size() > MOST_REVISIONS) {
             return "at most " + NAMED + " followers and " + MOST_REVISIONS + " revisions are named";
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
@@ -6,8 +6,9 @@
 import java.util.TreeMap;
 
 /**
- * The newest report of each distributor. Soft state of whoever leads: a new leader begins with none. Bounded:
- * where too many distributors report, the one that was heard longest ago is forgotten. Not thread safe.
+ * The newest report of each distributor. Soft state of whoever leads: a new leader begins with
+ * none. Bounded: where too many distributors report, the one that was heard longest ago is
+ * forgotten. Not thread safe.
  */
 public final class FollowerReports {
     /** Most distributors whose reports are kept. */
@@ -26,12 +27,16 @@
 
     private final Map<String, Received> byDistributor = new TreeMap<>();
 
-    /** Takes a report in place of the distributor's last one; {@code nowMs} is any monotonic clock. */
+    /**
+     * Takes a report in place of the distributor's last one; {@code nowMs} is any monotonic clock.
+     */
     public void take(FollowerReport report, long nowMs) {
         byDistributor.put(report.distributor(), new Received(report, nowMs));
         if (byDistributor.size() > MOST) {
             byDistributor.entrySet().stream()
-                    .min(Map.Entry.comparingByValue((one, other) -> Long.compare(one.atMs(), other.atMs())))
+                    .min(
+                            Map.Entry.comparingByValue(
+                                    (one, other) -> Long.compare(one.atMs(), other.atMs())))
                     .ifPresent(oldest -> byDistributor.remove(oldest.getKey()));
         }
     }
@@ -54,7 +59,8 @@
         for (FollowerReport.Behind one : report.behind()) {
             if (one.revision() < revision) {
                 behind.add(
-                        new FollowerReport.Behind(one.follower(), one.revision(), one.sinceMs() + age));
+                        new FollowerReport.Behind(
+                                one.follower(), one.revision(), one.sinceMs() + age));
             }
         }
         return new Zone(
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/SettingRules.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/SettingRules.java
@@ -11,9 +11,9 @@
 import saltstage.wire.MalformedException;
 
 /**
- * Which settings a relay takes while it runs, and how their values are checked: composed to an operator's file
- * and read by the relay's own reader. Replicas must agree on each verdict: another name here, or another rule of
- * a name's value, takes a new feature level.
+ * Which settings a relay takes while it runs, and how their values are checked: composed to an
+ * operator's file and read by the relay's own reader. Replicas must agree on each verdict: another
+ * name here, or another rule of a name's value, takes a new feature level.
  */
 final class SettingRules {
     /** By block, the attributes that a relay puts in force without a restart. */
@@ -51,13 +51,15 @@
     static boolean taken(String name) {
         int dot = name.indexOf('.');
         return dot > 0
-                && TAKEN.getOrDefault(name.substring(0, dot), Set.of()).contains(name.substring(dot + 1));
+                && TAKEN.getOrDefault(name.substring(0, dot), Set.of())
+                        .contains(name.substring(dot + 1));
     }
 
     /** The names that are taken, for refusals. */
     static String names() {
         List<String> names = new ArrayList<>();
-        TAKEN.forEach((block, attributes) -> attributes.forEach(name -> names.add(block + "." + name)));
+        TAKEN.forEach(
+                (block, attributes) -> attributes.forEach(name -> names.add(block + "." + name)));
         names.sort(null);
         return String.join(", ", names);
     }
@@ -89,7 +91,8 @@
         blocks.forEach(
                 (block, lines) -> {
                     file.append(block).append(" {\n");
-                    NEEDED.getOrDefault(block, List.of()).forEach(line -> file.append(line).append('\n'));
+                    NEEDED.getOrDefault(block, List.of())
+                            .forEach(line -> file.append(line).append('\n'));
                     lines.forEach(line -> file.append(line).append('\n'));
                     file.append("}\n");
                 });
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/ShardCounts.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/ShardCounts.java
@@ -13,7 +13,9 @@
         return counts.getOrDefault(backend, 0);
     }
 
-    /** An entry's value is replaced; null stands for none. Values of other kinds are passed over. */
+    /**
+     * An entry's value is replaced; null stands for none. Values of other kinds are passed over.
+     */
     void replace(EntryValue before, EntryValue after) {
         if (before instanceof EntryValue.Shard shard) {
             counts.merge(shard.backend(), -1, ShardCounts::sumOrNone);
--- a/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -17,6 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import saltstage.coordinator.advice.AdviceCommands;
+import saltstage.coordinator.configuration.ConfigurationCommands;
+import saltstage.coordinator.configuration.ConfigurationModule;
+import saltstage.coordinator.configuration.ConfigurationReplies;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.LeaseReplies;
 import saltstage.coordinator.model.Command;
@@ -55,6 +58,9 @@
         COMMANDS.put("advise", AdviceCommands.Advise.class);
         COMMANDS.put("decide", AdviceCommands.Decide.class);
         COMMANDS.put("outcome", AdviceCommands.Outcome.class);
+        COMMANDS.put("change-configuration", ConfigurationCommands.ChangeConfiguration.class);
+        REPLIES.put("changed", ConfigurationReplies.Changed.class);
+        REPLIES.put("rejected", ConfigurationReplies.Rejected.class);
         REPLIES.put("planned", WindowReplies.Planned.class);
         REPLIES.put("window", WindowReplies.Now.class);
         REPLIES.put("done", Done.class);
@@ -98,6 +104,7 @@
     private static ObjectMapper prepared(MapperBuilder<?, ?> builder) {
         builder.addMixIn(Command.class, Named.class)
                 .addMixIn(Reply.class, Resulting.class)
+                .addModule(new ConfigurationModule())
                 .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
--- a/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/GroupState.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import saltstage.coordinator.advice.AdviceBook;
 import saltstage.coordinator.advice.AdviceCommands;
+import saltstage.coordinator.configuration.ConfigurationCommands;
+import saltstage.coordinator.configuration.ConfigurationRegistry;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.Leases;
 import saltstage.coordinator.model.Command;
@@ -23,7 +25,7 @@
  */
 public final class GroupState {
     /** The highest feature level that this build knows. */
-    public static final int SPEAKS = 3;
+    public static final int SPEAKS = 4;
 
     /** The disk of a name that was given up: no disk has it. */
     public static final String RETIRED = "retired";
@@ -40,7 +42,8 @@
             Leases.Image leases,
             Map<String, MemberRow> members,
             Windows.Image windows,
-            AdviceBook.Image advice) {}
+            AdviceBook.Image advice,
+            ConfigurationRegistry.Image configuration) {}
 
     private int level;
     private final GroupTime time;
@@ -49,6 +52,7 @@
     private final Map<String, MemberRow> members;
     private final Windows windows;
     private final AdviceBook advice;
+    private final ConfigurationRegistry configuration;
 
     /** A new group. */
     public GroupState() {
@@ -60,7 +64,8 @@
                         new Leases().image(),
                         Map.of(),
                         new Windows().image(),
-                        new AdviceBook().image()));
+                        new AdviceBook().image(),
+                        new ConfigurationRegistry().image()));
     }
 
     /** As a snapshot has it. */
@@ -72,6 +77,10 @@
         members = new TreeMap<>(image.members());
         windows = image.windows() == null ? new Windows() : new Windows(image.windows());
         advice = image.advice() == null ? new AdviceBook() : new AdviceBook(image.advice());
+        configuration =
+                image.configuration() == null
+                        ? new ConfigurationRegistry()
+                        : new ConfigurationRegistry(image.configuration());
     }
 
     /** What a snapshot keeps; equal states give equal images. */
@@ -85,7 +94,8 @@
                 leases.image(),
                 new TreeMap<>(members),
                 level < WindowCommands.SINCE ? null : windows.image(),
-                level < AdviceCommands.SINCE ? null : advice.image());
+                level < AdviceCommands.SINCE ? null : advice.image(),
+                level < ConfigurationCommands.SINCE ? null : configuration.image());
     }
 
     /** Carries one entry of the log out. */
@@ -149,6 +159,9 @@
         if (command instanceof AdviceCommands.Outcome ask) {
             return advice.outcome(ask, time.now());
         }
+        if (command instanceof ConfigurationCommands.ChangeConfiguration ask) {
+            return configuration.change(ask, time.day());
+        }
         return command.since() == WindowCommands.SINCE ? window(command) : ownBusiness(command);
     }
 
@@ -280,6 +293,11 @@
         return windows;
     }
 
+    /** Its configuration. */
+    public ConfigurationRegistry configuration() {
+        return configuration;
+    }
+
     /** Its advice. */
     public AdviceBook advice() {
         return advice;
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/configuration/ConfigurationGroupTest.java
@@ -0,0 +1,150 @@
+package saltstage.coordinator.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+import saltstage.coordinator.configuration.ConfigurationReplies.Changed;
+import saltstage.coordinator.configuration.ConfigurationReplies.Rejected;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupCommands;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.group.Proposal;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
+
+/** Configuration as a part of a group: levels, sessions, log, snapshots, JSON. */
+class ConfigurationGroupTest {
+    private static final EntryValue BACKEND =
+            new EntryValue.Backend("10.0.0.7:1", "a1", 2, EntryValue.BackendState.DRAINING, 0.5, 9);
+
+    private GroupState state = new GroupState();
+
+    private Reply say(String client, long seq, Command command) throws IOException {
+        return state.apply(Codec.proposal(Codec.entry(new Proposal(client, seq, "e", 0, command))));
+    }
+
+    private void level(int level) throws IOException {
+        say("", 0, new GroupCommands.Introduce("a", "disk", "1.2.3.4:1", "1.2.3.4:2"));
+        say("", 0, new GroupCommands.Tick(Map.of(), Map.of("a", level), List.of("a")));
+        assertEquals(level, state.level());
+    }
+
+    private static ChangeConfiguration change(Mutation... mutations) {
+        return new ChangeConfiguration("ana", List.of(mutations), Map.of());
+    }
+
+    private static Mutation mutation(String key, EntryValue value) {
+        return new Mutation(EntryKey.parse(key), value);
+    }
+
+    private static ChangeConfiguration allKinds() {
+        return change(
+                mutation("backend/gw-1", BACKEND),
+                mutation("shard/t/1", new EntryValue.Shard("gw-1")),
+                mutation("suspension/gw-1", new EntryValue.Suspension("disk \u00e9")),
+                mutation("setting/log.level", new EntryValue.Setting("\"warn\"")));
+    }
+
+    @Test
+    void groupBelowTheLevelRefusesAndItsSnapshotHasNoSuchField() throws IOException {
+        level(3);
+        assertEquals("not-yet", ((Refused) say("c", 1, allKinds())).code());
+        JsonNode image = Codec.cbor().readTree(Codec.snapshot(state.image())).path("image");
+        assertFalse(image.has("configuration"), "replicas of level 3 take no field more");
+        assertTrue(image.has("advice"));
+        level(4);
+        assertInstanceOf(Changed.class, say("c", 2, allKinds()));
+        JsonNode after = Codec.cbor().readTree(Codec.snapshot(state.image())).path("image");
+        assertEquals(1, after.path("configuration").path("revision").asLong());
+    }
+
+    @Test
+    void snapshotGivesBackAnEqualStateWithAnEqualDigest() throws IOException {
+        level(4);
+        say("c", 1, allKinds());
+        say("c", 2, change(mutation("suspension/gw-1", null)));
+        byte[] bytes = Codec.snapshot(state.image());
+        GroupState restored = new GroupState(Codec.image(bytes));
+        assertEquals(state.configuration().digest(), restored.configuration().digest());
+        assertEquals(
+                state.configuration().view().entries(), restored.configuration().view().entries());
+        assertEquals(state.configuration().image(), restored.configuration().image());
+        assertArrayEquals(bytes, Codec.snapshot(restored.image()));
+        assertEquals(
+                state.configuration().after(0, 0, 10), restored.configuration().after(0, 0, 10));
+    }
+
+    @Test
+    void changeThatIsSentAgainIsCarriedOutOnceAlsoAfterASnapshot() throws IOException {
+        level(4);
+        say("c", 1, change(mutation("backend/gw-1", BACKEND)));
+        ChangeConfiguration placed = change(mutation("shard/t/1", new EntryValue.Shard("gw-1")));
+        Reply first = say("c", 2, placed);
+        say("other", 1, change(mutation("shard/t/1", null)));
+        assertEquals(first, say("c", 2, placed), "the answer was lost and the command sent again");
+        assertFalse(
+                state.configuration().view().entries().containsKey(EntryKey.parse("shard/t/1")),
+                "carried out a second time it would undo the other writer's change");
+        state = new GroupState(Codec.image(Codec.snapshot(state.image())));
+        assertEquals(first, say("c", 2, placed));
+        assertEquals(3, state.configuration().revision());
+    }
+
+    @Test
+    void commandAndReadApiHaveTheSameFormOfMutations() throws Exception {
+        ChangeConfiguration all = allKinds();
+        JsonNode json = Codec.json().valueToTree(all);
+        JsonNode written = Codec.json().readTree(ConfigurationJson.text(all.mutations()));
+        assertEquals(written.path("mutations").toString(), json.path("mutations").toString());
+        JsonNode named =
+                Codec.json()
+                        .readTree(Codec.json().writerFor(Command.class).writeValueAsString(all));
+        assertEquals("change-configuration", named.path("op").asText());
+        assertEquals(all, Codec.command(named));
+        Reply no = new Rejected(RejectionCode.IN_USE, "backend/gw-1", "deleted", "x");
+        String reply = Codec.json().writerFor(Reply.class).writeValueAsString(no);
+        assertEquals(no, Codec.json().readValue(reply, Reply.class));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"key\":\"planet/x\",\"deleted\":true}",
+                "{\"key\":\"shard/t/1\",\"deleted\":false}",
+                "{\"key\":\"shard/t/1\",\"shard\":null}",
+                "{\"key\":\"shard/t/1\",\"shard\":{}}",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":null}}",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":\"a\",\"x\":1}}",
+                "{\"key\":\"shard/t/1\",\"suspension\":{\"reason\":\"a\"}}",
+                "{\"key\":\"shard/t/1\",\"shard\":{\"backend\":\"a\"},\"deleted\":true}",
+                "{\"key\":7,\"deleted\":true}",
+                "7",
+                "null"
+            })
+    void malformedMutationInACommandIsRefused(String mutation) throws IOException {
+        String text =
+                "{\"op\":\"change-configuration\",\"author\":\"ana\",\"expected\":{},\"mutations\":["
+                        + mutation
+                        + "]}";
+        JsonNode command = Codec.json().readTree(text);
+        assertThrows(JsonProcessingException.class, () -> Codec.command(command));
+    }
+}
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/configuration/ConfigurationRegistryTest.java
@@ -0,0 +1,330 @@
+package saltstage.coordinator.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+import saltstage.coordinator.configuration.ConfigurationReplies.Changed;
+import saltstage.coordinator.configuration.ConfigurationReplies.Rejected;
+import saltstage.coordinator.model.Reply;
+import saltstage.wire.MalformedException;
+
+/** What a group accepts as configuration, what it refuses, and what it keeps. */
+class ConfigurationRegistryTest {
+    private static final long DAY = 1_700_000_000_000L;
+    private static final String BACKEND =
+            "{\"key\":\"backend/%s\",\"backend\":{\"address\":\"%s\",\"zone\":\"a1\",\"cell\":0,"
+                    + "\"state\":\"READY\",\"weight\":1,\"startedAtMs\":0}}";
+
+    private final ConfigurationRegistry registry = new ConfigurationRegistry();
+
+    private Reply change(Map<String, Long> expected, String... mutations) {
+        try {
+            String text = "{\"mutations\":[" + String.join(",", mutations) + "]}";
+            List<Mutation> read = ConfigurationJson.mutations(text);
+            return registry.change(new ChangeConfiguration("ana", read, expected), DAY);
+        } catch (MalformedException bad) {
+            throw new IllegalArgumentException(bad);
+        }
+    }
+
+    private Changed put(String... mutations) {
+        return assertInstanceOf(Changed.class, change(Map.of(), mutations));
+    }
+
+    private static String backend(String name) {
+        return String.format(BACKEND, name, "10.0.0.7:4100");
+    }
+
+    private static String shard(String name, String backend) {
+        return "{\"key\":\"shard/" + name + "\",\"shard\":{\"backend\":\"" + backend + "\"}}";
+    }
+
+    private static String setting(String name, String text) {
+        String quoted = text.replace("\"", "\\\"");
+        return "{\"key\":\"setting/" + name + "\",\"setting\":{\"text\":\"" + quoted + "\"}}";
+    }
+
+    private static String deleted(String key) {
+        return "{\"key\":\"" + key + "\",\"deleted\":true}";
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '~',
+            quoteCharacter = '`',
+            value = {
+                "log.level ~ \"loud\" ~ INVALID_VALUE ~ one of",
+                "log.level ~ info ~ INVALID_VALUE ~ quoted text",
+                "log.level ~ \"info\" } store { dir = \"x\" ~ INVALID_VALUE ~ quoted text",
+                "log.colour ~ \"red\" ~ UNKNOWN_SETTING ~ log.level",
+                "store.dir ~ \"/tmp\" ~ UNKNOWN_SETTING ~ amqp.connections",
+                "amqp.loops ~ 2 ~ UNKNOWN_SETTING ~ amqp.connections",
+                "amqp.connections ~ 0 ~ INVALID_VALUE ~ connections",
+                "amqp.idle ~ \"soon\" ~ INVALID_VALUE ~ a span such as",
+                "amqp.link_bytes ~ \"8KiB\" ~ INVALID_VALUE ~ four frames",
+            })
+    void badSettingIsRefusedWithWhatWouldDo(String name, String text, String code, String wanted) {
+        Rejected no = assertInstanceOf(Rejected.class, change(Map.of(), setting(name, text)));
+        assertEquals(code, no.code().name());
+        assertEquals("setting/" + name, no.key());
+        assertEquals(text, no.value());
+        assertTrue(no.wanted().contains(wanted), no.wanted());
+        assertEquals(0, registry.revision());
+    }
+
+    @Test
+    void badBackendShardAndSuspensionAreRefusedWithWhatWouldDo() {
+        put(backend("gw-1"));
+        refused(
+                "INVALID_VALUE",
+                "backend/gw-2",
+                "as 10.0.0.7:4100",
+                String.format(BACKEND, "gw-2", "gw-2.example:4100"));
+        refused(
+                "INVALID_VALUE",
+                "backend/gw-2",
+                "as 10.0.0.7:4100",
+                String.format(BACKEND, "gw-2", "10.0.0.300:4100"));
+        String longName = "g".repeat(129);
+        refused("INVALID_VALUE", "backend/" + longName, "1 to 128", backend(longName));
+        refused("UNKNOWN_BACKEND", "shard/t/1", "that there is", shard("t/1", "gw-2"));
+        refused(
+                "UNKNOWN_BACKEND",
+                "suspension/gw-2",
+                "that there is",
+                "{\"key\":\"suspension/gw-2\",\"suspension\":{\"reason\":\"x\"}}");
+        refused(
+                "UNKNOWN_BACKEND",
+                "shard/t/1",
+                "that there is",
+                shard("t/1", "gw-1"),
+                deleted("backend/gw-1"),
+                shard("t/1", "gw-9"));
+        assertEquals(1, registry.revision());
+    }
+
+    @Test
+    void valueThatNoJsonCouldCarryIsRefused() {
+        for (double weight : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+            EntryValue value =
+                    new EntryValue.Backend(
+                            "10.0.0.7:1", "", 0, EntryValue.BackendState.READY, weight, 0);
+            Mutation bad = new Mutation(EntryKey.parse("backend/gw-1"), value);
+            Reply reply =
+                    registry.change(new ChangeConfiguration("ana", List.of(bad), Map.of()), DAY);
+            assertTrue(((Rejected) reply).wanted().contains("'weight'"));
+        }
+    }
+
+    @Test
+    void wholeChangesAreBounded() {
+        refused("MALFORMED", "", "mutations");
+        String[] many = new String[ConfigurationLimits.MUTATIONS_PER_CHANGE];
+        for (int i = 0; i < many.length; i++) {
+            many[i] = backend("b" + i);
+        }
+        put(many);
+        for (int i = 0; i < many.length; i++) {
+            String reason = "r".repeat(ConfigurationLimits.REASON_LENGTH);
+            many[i] =
+                    "{\"key\":\"suspension/b"
+                            + i
+                            + "\",\"suspension\":{\"reason\":\""
+                            + reason
+                            + "\"}}";
+        }
+        refused("MALFORMED", "", "bytes would do", many);
+        Reply nameless =
+                registry.change(
+                        new ChangeConfiguration(
+                                "",
+                                List.of(new Mutation(EntryKey.parse("shard/t/1"), null)),
+                                Map.of()),
+                        DAY);
+        assertEquals(RejectionCode.MALFORMED, ((Rejected) nameless).code());
+    }
+
+    private void refused(String code, String key, String wanted, String... mutations) {
+        Rejected no = assertInstanceOf(Rejected.class, change(Map.of(), mutations));
+        assertEquals(code + " " + key, no.code() + " " + no.key());
+        assertTrue(no.wanted().contains(wanted), no.wanted());
+        assertTrue(no.sentence().contains(no.wanted()));
+    }
+
+    @Test
+    void backendThatIsNamedIsDeletedOnlyWithWhatNamesIt() {
+        put(backend("gw-1"), backend("gw-2"), shard("t/1", "gw-1"), shard("t/2", "gw-1"));
+        refused("IN_USE", "backend/gw-1", "2 shards", deleted("backend/gw-1"));
+        refused(
+                "IN_USE",
+                "backend/gw-1",
+                "1 shards",
+                deleted("backend/gw-1"),
+                shard("t/1", "gw-2"));
+        put(deleted("backend/gw-1"), shard("t/1", "gw-2"), deleted("shard/t/2"));
+        put(
+                "{\"key\":\"suspension/gw-2\",\"suspension\":{\"reason\":\"x\"}}",
+                deleted("shard/t/1"));
+        refused("IN_USE", "backend/gw-2", "suspension/gw-2", deleted("backend/gw-2"));
+        put(deleted("backend/gw-2"), deleted("suspension/gw-2"));
+        assertEquals(0, registry.view().entries().size());
+    }
+
+    @Test
+    void secondOfTwoWritersWhoSawTheSameRevisionIsRefused() {
+        Changed seen = put(backend("gw-1"), backend("gw-2"), shard("t/1", "gw-1"));
+        Map<String, Long> expected = Map.of("shard/t/1", seen.revision());
+        assertInstanceOf(Changed.class, change(expected, shard("t/1", "gw-2")));
+        Rejected late = assertInstanceOf(Rejected.class, change(expected, deleted("shard/t/1")));
+        assertEquals(RejectionCode.CONFLICT, late.code());
+        assertTrue(late.wanted().contains("revision 2"), late.wanted());
+        assertEquals(2, registry.revision());
+        Map<String, Long> absent = Map.of("shard/t/9", 0L);
+        assertInstanceOf(Changed.class, change(absent, shard("t/9", "gw-1")));
+        assertEquals(
+                RejectionCode.CONFLICT, ((Rejected) change(absent, shard("t/9", "gw-2"))).code());
+    }
+
+    @Test
+    void changeThatSaysNothingNewLeavesRevisionHistoryAndEntriesAlone() {
+        put(backend("gw-1"), shard("t/1", "gw-1"));
+        ConfigurationRegistry.Image before = registry.image();
+        Changed nothing = put(shard("t/1", "gw-1"), deleted("shard/t/2"));
+        assertEquals(new Changed(1, before.digest(), 0), nothing);
+        assertEquals(before, registry.image());
+        EntryKey shard = EntryKey.parse("shard/t/1");
+        assertSame(registry.view().entries().get(shard), registry.view().entries().get(shard));
+        Changed some = put(shard("t/1", "gw-1"), shard("t/2", "gw-1"));
+        assertEquals(1, some.mutations());
+        assertEquals(1, registry.view().entries().get(shard).revision());
+    }
+
+    @Test
+    void historyKeepsAuthorTimeAndWhatUndoesEachChange() {
+        put(backend("gw-1"), shard("t/1", "gw-1"));
+        put(deleted("shard/t/1"));
+        ConfigurationRegistry.History history = registry.history(0, 10);
+        assertEquals(2, history.changes().size());
+        AcceptedChange last = history.changes().get(1);
+        assertEquals("ana", last.author());
+        assertEquals(DAY, last.dayMs());
+        EntryKey shard = EntryKey.parse("shard/t/1");
+        assertEquals(List.of(new Mutation(shard, new EntryValue.Shard("gw-1"))), last.undo());
+        assertEquals(last, registry.history(1, 10).changes().get(0));
+    }
+
+    @Property(tries = 100)
+    void countsOfShardsAndUndosAgreeWithTheEntriesAfterAnyChanges(@ForAll long seed) {
+        Random random = new Random(seed);
+        ConfigurationRegistry drawn = new ConfigurationRegistry();
+        Map<Long, Map<EntryKey, EntryValue>> past = new HashMap<>(Map.of(0L, Map.of()));
+        for (int i = 0; i < 60; i++) {
+            drawn.change(new ChangeConfiguration("ana", mutations(random), Map.of()), DAY);
+            past.put(drawn.revision(), values(drawn));
+        }
+        ConfigurationRegistry restored = new ConfigurationRegistry(drawn.image());
+        assertEquals(drawn.image(), restored.image());
+        for (ConfigurationRegistry one : List.of(drawn, restored)) {
+            Map<EntryKey, EntryValue> back = new HashMap<>(values(one));
+            List<AcceptedChange> changes = one.history(0, Integer.MAX_VALUE).changes();
+            for (int i = changes.size() - 1; i >= 0; i--) {
+                for (Mutation undo : changes.get(i).undo()) {
+                    back.remove(undo.key());
+                    if (!undo.deletes()) {
+                        back.put(undo.key(), undo.value());
+                    }
+                }
+                assertEquals(past.get(changes.get(i).revision() - 1), back);
+            }
+            assertDeletionsAgree(one);
+        }
+    }
+
+    private static Map<EntryKey, EntryValue> values(ConfigurationRegistry of) {
+        Map<EntryKey, EntryValue> values = new HashMap<>();
+        of.view().entries().forEach((key, entry) -> values.put(key, entry.value()));
+        return values;
+    }
+
+    private static void assertDeletionsAgree(ConfigurationRegistry registry) {
+        for (int i = 0; i < 4; i++) {
+            EntryKey key = new EntryKey(EntryKind.BACKEND, "gw-" + i);
+            boolean named =
+                    registry.view().entries().values().stream()
+                            .anyMatch(
+                                    entry ->
+                                            entry.value().equals(new EntryValue.Shard(key.name())));
+            Reply reply =
+                    registry.change(
+                            new ChangeConfiguration(
+                                    "ana", List.of(new Mutation(key, null)), Map.of()),
+                            DAY);
+            assertEquals(named, reply instanceof Rejected no && no.code() == RejectionCode.IN_USE);
+        }
+    }
+
+    private static List<Mutation> mutations(Random random) {
+        List<Mutation> mutations = new ArrayList<>();
+        for (int i = random.nextInt(4); i >= 0; i--) {
+            String backend = "gw-" + random.nextInt(4);
+            boolean placed = random.nextInt(3) > 0;
+            EntryKey key =
+                    EntryKey.parse(placed ? "shard/t/" + random.nextInt(6) : "backend/" + backend);
+            EntryValue value =
+                    placed
+                            ? new EntryValue.Shard(backend)
+                            : new EntryValue.Backend(
+                                    "10.0.0.7:1", "", 0, EntryValue.BackendState.READY, 1, 0);
+            mutations.add(new Mutation(key, random.nextInt(4) == 0 ? null : value));
+        }
+        return mutations;
+    }
+
+    @Test
+    void imageThatContradictsItselfIsRefused() {
+        put(backend("gw-1"));
+        ConfigurationRegistry.Image good = registry.image();
+        assertThrows(
+                IllegalArgumentException.class,
+                () ->
+                        new ConfigurationRegistry(
+                                new ConfigurationRegistry.Image(
+                                        1,
+                                        good.digest(),
+                                        List.of(),
+                                        0,
+                                        good.baseDigest(),
+                                        good.changes())));
+        assertThrows(
+                IllegalArgumentException.class,
+                () ->
+                        new ConfigurationRegistry(
+                                new ConfigurationRegistry.Image(
+                                        1,
+                                        good.digest(),
+                                        good.entries(),
+                                        0,
+                                        good.baseDigest(),
+                                        List.of())));
+    }
+}
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/configuration/FollowerReportsTest.java
@@ -0,0 +1,50 @@
+package saltstage.coordinator.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import saltstage.coordinator.configuration.FollowerReport.Behind;
+
+/** What the leader tells of followers. */
+class FollowerReportsTest {
+    private static FollowerReport report(String distributor, List<Behind> behind) {
+        return new FollowerReport(distributor, "a1", 8, Map.of(8L, 190, 7L, 5), 195, behind);
+    }
+
+    @Test
+    void confirmedAreThoseAtTheRevisionOrLaterAndAgesGoOn() {
+        FollowerReports reports = new FollowerReports();
+        reports.take(report("d1", List.of(new Behind("r7", 7, 400))), 1_000);
+        FollowerReports.Zone at8 = reports.zones(8, 41_000).get(0);
+        assertEquals(190, at8.confirmed());
+        assertEquals(40_000, at8.reportAgeMs());
+        assertEquals(List.of(new Behind("r7", 7, 40_400)), at8.behind());
+        FollowerReports.Zone at7 = reports.zones(7, 41_000).get(0);
+        assertEquals(195, at7.confirmed());
+        assertEquals(List.of(), at7.behind());
+    }
+
+    @Test
+    void reportsAreBoundedAndTheOldestGoesFirst() {
+        FollowerReports reports = new FollowerReports();
+        for (int i = 0; i <= FollowerReports.MOST; i++) {
+            reports.take(report("d" + i, List.of()), i);
+        }
+        List<FollowerReports.Zone> zones = reports.zones(8, 5_000);
+        assertEquals(FollowerReports.MOST, zones.size());
+        assertEquals(0, zones.stream().filter(zone -> zone.distributor().equals("d0")).count());
+    }
+
+    @Test
+    void reportThatIsTooLargeOrNegativeIsRefused() {
+        assertNull(report("d1", List.of()).fault());
+        assertNotNull(report("", List.of()).fault());
+        assertNotNull(report("d1", List.of(new Behind("r", -1, 0))).fault());
+        assertNotNull(report("d1", Collections.nCopies(101, new Behind("r", 1, 0))).fault());
+    }
+}
