Commands 'config put|get|watch|history|rollback|status' for a group's configuration

Operators need to change and follow a group's configuration.

The commands have not been run against a group yet.

--- a/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
@@ -18,7 +18,8 @@
             LeaseCommand.class,
             WindowCommand.class,
             AgentCommand.class,
-            AdviceCommand.class
+            AdviceCommand.class,
+            GroupConfigCommand.class
         })
 public final class Coordinator {
     /** No group could be reached. */
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/RollbackPlan.java
@@ -0,0 +1,99 @@
+package saltstage.coordinator.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+
+/**
+ * The changes that bring all entries back to what they said at an earlier revision. One change
+ * where it is within the bounds of one; else several, in an order in which each is accepted by
+ * itself: settings and new backends, then shards and suspensions, then deletions of backends.
+ */
+public final class RollbackPlan {
+    /** Where a key's mutation stands among several changes. */
+    private enum Stage {
+        SETTINGS_AND_BACKENDS,
+        SHARDS_AND_SUSPENSIONS,
+        DELETED_BACKENDS
+    }
+
+    private final Map<EntryKey, Mutation> undo = new TreeMap<>();
+    private final Map<EntryKey, EntryValue> newest = new HashMap<>();
+    private final Map<EntryKey, Long> revisions = new HashMap<>();
+
+    private RollbackPlan(Collection<AcceptedChange> changes) {
+        for (AcceptedChange change : changes) {
+            change.undo().forEach(mutation -> undo.putIfAbsent(mutation.key(), mutation));
+            for (Mutation mutation : change.mutations()) {
+                newest.put(mutation.key(), mutation.value());
+                revisions.put(mutation.key(), mutation.deletes() ? 0 : change.revision());
+            }
+        }
+        undo.values().removeIf(this::inForce);
+    }
+
+    private boolean inForce(Mutation mutation) {
+        EntryValue now = newest.get(mutation.key());
+        return now == null ? mutation.deletes() : now.equals(mutation.value());
+    }
+
+    /**
+     * The changes to ask for, in order; none where all is as it was. Each expects its keys as the
+     * last of the given changes left them, so that what somebody else writes meanwhile refuses it.
+     *
+     * @param changes all accepted changes after the earlier revision, oldest first
+     */
+    public static List<ChangeConfiguration> of(Collection<AcceptedChange> changes, String author) {
+        return new RollbackPlan(changes).asked(author);
+    }
+
+    private List<ChangeConfiguration> asked(String author) {
+        List<Mutation> ordered = new ArrayList<>();
+        for (Stage stage : Stage.values()) {
+            undo.values().stream().filter(one -> stage(one) == stage).forEach(ordered::add);
+        }
+        List<ChangeConfiguration> asked = new ArrayList<>();
+        List<Mutation> some = new ArrayList<>();
+        int bytes = 0;
+        for (Mutation mutation : ordered) {
+            int more = ConfigurationLimits.estimatedBytes(mutation);
+            if (some.size() == ConfigurationLimits.MUTATIONS_PER_CHANGE
+                    || bytes + more > ConfigurationLimits.BYTES_PER_CHANGE) {
+                asked.add(change(some, author));
+                some.clear();
+                bytes = 0;
+            }
+            some.add(mutation);
+            bytes += more;
+        }
+        if (!some.isEmpty()) {
+            asked.add(change(some, author));
+        }
+        return asked;
+    }
+
+    private ChangeConfiguration change(List<Mutation> mutations, String author) {
+        Map<String, Long> expected = new TreeMap<>();
+        mutations.forEach(one -> expected.put(one.key().text(), revisions.get(one.key())));
+        return new ChangeConfiguration(author, List.copyOf(mutations), expected);
+    }
+
+    private static Stage stage(Mutation mutation) {
+        EntryKind kind = mutation.key().kind();
+        if (kind == EntryKind.SHARD || kind == EntryKind.SUSPENSION) {
+            return Stage.SHARDS_AND_SUSPENSIONS;
+        }
+        return kind == EntryKind.BACKEND && mutation.deletes()
+                ? Stage.DELETED_BACKENDS
+                : Stage.SETTINGS_AND_BACKENDS;
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
+++ b/coordinator/src/main/java/saltstage/coordinator/group/Codec.java
@@ -123,6 +123,11 @@
         return STRICT.treeToValue(from, Command.class);
     }
 
+    /** A record that a client sends: every field is there, none is unknown, and nothing is null. */
+    public static <T> T strictly(JsonNode from, Class<T> type) throws JsonProcessingException {
+        return STRICT.treeToValue(from, type);
+    }
+
     /** The mapper of what replicas keep and say to each other. */
     public static ObjectMapper cbor() {
         return CBOR;
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/configuration/RollbackPlanTest.java
@@ -0,0 +1,124 @@
+package saltstage.coordinator.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+import saltstage.coordinator.configuration.ConfigurationReplies.Changed;
+import saltstage.coordinator.configuration.ConfigurationReplies.Rejected;
+import saltstage.coordinator.model.Reply;
+
+/** Rollbacks are accepted change by change, and lose no other writer's work. */
+class RollbackPlanTest {
+    private static final int BACKENDS = 3;
+
+    private ConfigurationRegistry registry = new ConfigurationRegistry();
+
+    private Reply change(ChangeConfiguration change) {
+        return registry.change(change, 1);
+    }
+
+    private Reply put(List<Mutation> mutations) {
+        return change(new ChangeConfiguration("ana", mutations, Map.of()));
+    }
+
+    private static Mutation backend(int number) {
+        EntryValue value =
+                new EntryValue.Backend(
+                        "10.0.0.7:1", "", 0, EntryValue.BackendState.READY, 1, number);
+        return new Mutation(new EntryKey(EntryKind.BACKEND, "gw-" + number), value);
+    }
+
+    private static Mutation shard(int number, int backend) {
+        EntryValue value = new EntryValue.Shard("gw-" + backend);
+        return new Mutation(new EntryKey(EntryKind.SHARD, "t/" + number), value);
+    }
+
+    private static Mutation deleted(Mutation mutation) {
+        return new Mutation(mutation.key(), null);
+    }
+
+    private static Map<EntryKey, EntryValue> values(ConfigurationRegistry of) {
+        Map<EntryKey, EntryValue> values = new HashMap<>();
+        of.view().entries().forEach((key, entry) -> values.put(key, entry.value()));
+        return values;
+    }
+
+    private List<ChangeConfiguration> planBackTo(long revision) {
+        return RollbackPlan.of(registry.history(revision, Integer.MAX_VALUE).changes(), "bea");
+    }
+
+    @Property(tries = 200)
+    void anyRevisionThatIsKeptComesBack(@ForAll long seed) {
+        Random random = new Random(seed);
+        registry = new ConfigurationRegistry(); // the instance is shared by all tries
+        Map<Long, Map<EntryKey, EntryValue>> past = new HashMap<>(Map.of(0L, Map.of()));
+        for (int i = 0; i < 25; i++) {
+            List<Mutation> mutations = new ArrayList<>();
+            for (int j = random.nextInt(4); j >= 0; j--) {
+                int number = random.nextInt(BACKENDS);
+                Mutation one =
+                        random.nextBoolean() ? backend(number) : shard(random.nextInt(5), number);
+                mutations.add(random.nextInt(3) == 0 ? deleted(one) : one);
+            }
+            put(mutations);
+            past.put(registry.revision(), values(registry));
+        }
+        long back = random.nextInt((int) registry.revision() + 1);
+        planBackTo(back).forEach(change -> assertInstanceOf(Changed.class, change(change)));
+        assertEquals(past.get(back), values(registry));
+        assertEquals(List.of(), planBackTo(back));
+    }
+
+    @Test
+    void largeRollbackIsSeveralChangesInAnOrderThatIsAccepted() {
+        int many = ConfigurationLimits.MUTATIONS_PER_CHANGE;
+        put(List.of(backend(0)));
+        putShards(many, 0);
+        putShards(2 * many, 0);
+        long full = registry.revision();
+        Map<EntryKey, EntryValue> before = values(registry);
+        put(List.of(backend(1)));
+        putShards(many, 1);
+        putShards(2 * many, 1);
+        put(List.of(deleted(backend(0))));
+        List<ChangeConfiguration> plan = planBackTo(full);
+        assertTrue(plan.size() > 2, plan.size() + " changes");
+        plan.forEach(change -> assertInstanceOf(Changed.class, change(change)));
+        assertEquals(before, values(registry));
+    }
+
+    private void putShards(int end, int backend) {
+        List<Mutation> shards = new ArrayList<>();
+        for (int i = end - ConfigurationLimits.MUTATIONS_PER_CHANGE; i < end; i++) {
+            shards.add(shard(i, backend));
+        }
+        assertInstanceOf(Changed.class, put(shards));
+    }
+
+    @Test
+    void rollbackIsRefusedWhereSomebodyElseHasWrittenMeanwhile() {
+        put(List.of(backend(0), backend(1), shard(1, 0), shard(2, 0)));
+        put(List.of(shard(1, 1), deleted(shard(2, 0))));
+        List<ChangeConfiguration> plan = planBackTo(1);
+        put(List.of(shard(2, 1)));
+        Rejected late = assertInstanceOf(Rejected.class, change(plan.get(0)));
+        assertEquals(RejectionCode.CONFLICT, late.code());
+        assertEquals("shard/t/2", late.key());
+        assertEquals(3, registry.revision());
+    }
+}
