--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
@@ -23,8 +23,10 @@
     /** Most followers that a report names. */
     public static final int NAMED = 100;
 
+    /** Most revisions that a report counts; what is older than that may be left out. */
+    public static final int REVISIONS = 1_000;
+
     private static final int LONGEST_NAME = 100;
-    private static final int MOST_REVISIONS = 10_000;
 
     /**
      * A follower that is behind the newest revision of its distributor.
@@ -43,8 +45,8 @@
                     + LONGEST_NAME
                     + " visible characters";
         }
-        if (behind.size() > NAMED || confirmedByRevision.size() > MOST_REVISIONS) {
-            return "at most " + NAMED + " followers and " + MOST_REVISIONS + " revisions are named";
+        if (behind.size() > NAMED || confirmedByRevision.size() > REVISIONS) {
+            return "at most " + NAMED + " followers and " + REVISIONS + " revisions are named";
         }
         boolean negative =
                 followers < 0
--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
@@ -12,7 +12,7 @@
  */
 public final class FollowerReports {
     /** Most distributors whose reports are kept. */
-    static final int MOST = 1_000;
+    static final int MOST = 100;
 
     /** A zone as a distributor last told it, against the revision that was asked about. */
     public record Zone(
