--- a/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
+++ b/coordinator/src/main/java/saltstage/coordinator/client/LeaseClient.java
@@ -207,7 +207,9 @@
                 renewOnce();
             } catch (InterruptedException ended) {
                 return;
-            } catch (RuntimeException fault) { // of one round: the leases held need the rounds after it
+            } catch (
+                    RuntimeException
+                            fault) { // of one round: the leases held need the rounds after it
                 Log.error("lease.renewal-failed", fault);
             }
         }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/PeerLinks.java
@@ -291,7 +291,10 @@
             }
         }
 
-        /** Null where it is not known, or not readable: the group may be told of another at any time. */
+        /**
+         * Null where it is not known, or not readable: the group may be told of another at any
+         * time.
+         */
         private InetSocketAddress address() {
             try {
                 return addresses.apply(peer);
--- a/coordinator/src/test/java/saltstage/coordinator/client/GroupClientTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/client/GroupClientTest.java
@@ -22,9 +22,15 @@
         Answer notHere = new Answer(404, Map.of("error", "not here"));
         Answer byLeader = new Answer(200, Map.of("by", "leader"));
         Answer byNamed = new Answer(200, Map.of("by", "named"));
-        try (ScriptedReplica leader = new ScriptedReplica(asked -> replaced.get() ? notHere : byLeader);
-            ScriptedReplica named = new ScriptedReplica(asked -> replaced.get() ? byNamed
-                : new Answer(421, Map.of("leader", leader.place())))) {
+        try (ScriptedReplica leader =
+                        new ScriptedReplica(asked -> replaced.get() ? notHere : byLeader);
+                ScriptedReplica named =
+                        new ScriptedReplica(
+                                asked ->
+                                        replaced.get()
+                                                ? byNamed
+                                                : new Answer(
+                                                        421, Map.of("leader", leader.place())))) {
             GroupClient client = new GroupClient(List.of(named.place()), Ticker.SYSTEM);
             assertEquals("leader", client.get("/v1/status", WITHIN).path("by").asText());
             replaced.set(true);
--- a/coordinator/src/test/java/saltstage/coordinator/client/ScriptedReplica.java
+++ b/coordinator/src/test/java/saltstage/coordinator/client/ScriptedReplica.java
@@ -12,19 +12,21 @@
 /** A replica's front whose answers the test decides. */
 final class ScriptedReplica implements AutoCloseable {
     /** A status and the body that goes with it. */
-    record Answer(int status, Object body) {
-    }
+    record Answer(int status, Object body) {}
 
     private final HttpServer server;
 
-    /** Answers each call by what the function makes of its body, which is null where there is none. */
+    /**
+     * Answers each call by what the function makes of its body, which is null where there is none.
+     */
     ScriptedReplica(Function<JsonNode, Answer> answers) throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.createContext("/", exchange -> answer(exchange, answers));
         server.start();
     }
 
-    private static void answer(HttpExchange exchange, Function<JsonNode, Answer> answers) throws IOException {
+    private static void answer(HttpExchange exchange, Function<JsonNode, Answer> answers)
+            throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         Answer answer = answers.apply(body.length == 0 ? null : Codec.json().readTree(body));
         byte[] bytes = Codec.json().writeValueAsBytes(answer.body());
--- a/coordinator/src/test/java/saltstage/coordinator/replica/PeerLinksTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/replica/PeerLinksTest.java
@@ -48,13 +48,17 @@
         private final List<Loop> loops = List.of(new ScriptedLoop());
 
         @Override
-        public Listener listen(InetSocketAddress at, int backlog, Connection.Bounds bounds,
-                Acceptor acceptor) {
+        public Listener listen(
+                InetSocketAddress at, int backlog, Connection.Bounds bounds, Acceptor acceptor) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public void connect(Loop on, InetSocketAddress to, Duration limit, Connection.Bounds bounds,
+        public void connect(
+                Loop on,
+                InetSocketAddress to,
+                Duration limit,
+                Connection.Bounds bounds,
                 Connecting connecting) {
             connects.add(to);
         }
@@ -72,20 +76,27 @@
 
     private PeerLinks links(Function<String, InetSocketAddress> addresses) {
         PeerLinks.Hello self = new PeerLinks.Hello("group", "a", "disk", "process", 1, "", "");
-        return new PeerLinks(new ScriptedTransport(), new RaftCodec("group"), self, null, addresses,
-            () -> new PeerLinks.Beat(0, 1));
+        return new PeerLinks(
+                new ScriptedTransport(),
+                new RaftCodec("group"),
+                self,
+                null,
+                addresses,
+                () -> new PeerLinks.Beat(0, 1));
     }
 
     @Test
     void peerWhoseAddressCannotBeReadIsLookedUpAgain() {
         List<String> asked = new ArrayList<>();
-        PeerLinks links = links(peer -> {
-            asked.add(peer);
-            if (asked.size() == 1) {
-                throw new IllegalArgumentException("an address without a port");
-            }
-            return PEER;
-        });
+        PeerLinks links =
+                links(
+                        peer -> {
+                            asked.add(peer);
+                            if (asked.size() == 1) {
+                                throw new IllegalArgumentException("an address without a port");
+                            }
+                            return PEER;
+                        });
         links.keep("b");
         assertEquals(1, asked.size());
         assertEquals(1, due.size(), "another try is due");
@@ -96,10 +107,12 @@
     @Test
     void peerWhoseAddressIsNotKnownYetIsLookedUpAgain() {
         List<String> asked = new ArrayList<>();
-        PeerLinks links = links(peer -> {
-            asked.add(peer);
-            return asked.size() == 1 ? null : PEER;
-        });
+        PeerLinks links =
+                links(
+                        peer -> {
+                            asked.add(peer);
+                            return asked.size() == 1 ? null : PEER;
+                        });
         links.keep("b");
         due.remove().run();
         assertEquals(List.of(PEER), connects);
