PeerLinksTest: the heartbeat by its new name

Cause: the test was written beside the rename of the type and does not compile with it. Change: the new name.

--- a/coordinator/src/test/java/saltstage/coordinator/replica/PeerLinksTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/replica/PeerLinksTest.java
@@ -82,7 +82,7 @@
                 self,
                 null,
                 addresses,
-                () -> new PeerLinks.Beat(0, 1));
+                () -> new PeerLinks.Heartbeat(0, 1));
     }
 
     @Test
