--- a/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
@@ -37,6 +37,7 @@
         routes.putAll(new WindowRoutes(replica).routes());
         routes.putAll(new AdviceRoutes(replica).routes());
         routes.putAll(new ClusterRoutes(replica).routes());
+        routes.putAll(new ConfigurationRoutes(replica).routes());
     }
 
     /** Answers one request; the future never fails. */
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ConfigurationRoutes.java
@@ -0,0 +1,245 @@
+package saltstage.coordinator.api;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import saltstage.configuration.ChangeHistory;
+import saltstage.configuration.ChangesResponse;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.ErrorResponse;
+import saltstage.configuration.SnapshotPage;
+import saltstage.configuration.SnapshotPager;
+import saltstage.coordinator.configuration.ConfigurationRegistry;
+import saltstage.coordinator.configuration.FollowerReport;
+import saltstage.coordinator.configuration.FollowerReports;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.replica.Replica;
+import saltstage.wire.MalformedException;
+
+/**
+ * The read API of the configuration. Changes and snapshots are answered by any replica, as it has
+ * them: their digests protect followers. Status, reports and history are the leader's.
+ */
+final class ConfigurationRoutes {
+    /** Requests are held back no longer; under the time in which each must be answered. */
+    private static final long MAX_WAIT_MS = 3_000;
+
+    /** Pages of snapshots under way beyond this many are refused for now. */
+    private static final int MAX_CONCURRENT_PAGES = 8;
+
+    private static final long BUSY_RETRY_MS = 250;
+    private static final long MAX_REVISION = 999_999_999_999_999L;
+    private static final int DEFAULT_HISTORY = 100;
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    /** What a status is answered with; the component names are part of the JSON. */
+    record Status(long revision, String digest, long asked, List<FollowerReports.Zone> zones) {}
+
+    /** What a follower has, and how much it takes. */
+    private record Poll(long revision, long digest, int limit, long deadlineNanos) {}
+
+    /** What a follower is answered, and the newest revision and digest at that moment. */
+    private record Read(ChangeHistory.Answer answer, long revision, long digest) {
+        boolean empty() {
+            return answer instanceof ChangeHistory.Changes found && found.changes().isEmpty();
+        }
+    }
+
+    private final Replica replica;
+    private final RevisionWatch watch;
+    private final SnapshotPager pager = new SnapshotPager(); // only on the replica's thread
+    private final AtomicInteger pages = new AtomicInteger();
+    private final FollowerReports reports = new FollowerReports(); // guarded by itself
+
+    ConfigurationRoutes(Replica replica) {
+        this.replica = replica;
+        watch =
+                new RevisionWatch(
+                        new RevisionWatch.Source() {
+                            @Override
+                            public boolean onChange(Runnable told) {
+                                return replica.onChange(told);
+                            }
+
+                            @Override
+                            public CompletableFuture<Long> revision() {
+                                return replica.read(
+                                        state -> state.configuration().revision(), true);
+                            }
+                        });
+    }
+
+    Map<String, Route> routes() {
+        return Map.of(
+                "GET /v1/configuration/changes", this::changes,
+                "GET /v1/configuration/snapshot", this::snapshot,
+                "GET /v1/configuration/status", this::status,
+                "GET /v1/configuration/history", this::history,
+                "POST /v1/configuration/reports", this::report);
+    }
+
+    // ---- changes
+
+    private CompletableFuture<ApiResponse> changes(ApiRequest request) {
+        long revision = request.wholeParameter("after", 0, MAX_REVISION);
+        long digest = digest(request.parameter("digest", revision == 0 ? emptyDigest() : ""));
+        int most = ConfigurationLimits.CHANGES_PER_ANSWER;
+        int limit = (int) request.wholeParameter("limit", most, most);
+        long waitMs = Math.min(MAX_WAIT_MS, request.wholeParameter("waitMs", 0, MAX_REVISION));
+        return answer(new Poll(revision, digest, limit, StateChanges.deadlineNanos(waitMs)))
+                .thenApplyAsync(ConfigurationRoutes::response);
+    }
+
+    private static String emptyDigest() {
+        return ConfigurationJson.text(0L);
+    }
+
+    private static long digest(String text) {
+        try {
+            return ConfigurationJson.digest(text, "'digest'");
+        } catch (MalformedException bad) {
+            throw new BadRequestException(bad.getMessage());
+        }
+    }
+
+    private CompletableFuture<Read> answer(Poll poll) {
+        return replica.read(state -> read(state.configuration(), poll), true)
+                .thenCompose(
+                        read ->
+                                read.empty()
+                                        ? later(poll, read)
+                                        : CompletableFuture.completedFuture(read));
+    }
+
+    private static Read read(ConfigurationRegistry configuration, Poll poll) {
+        return new Read(
+                configuration.after(poll.revision(), poll.digest(), poll.limit()),
+                configuration.revision(),
+                configuration.digest());
+    }
+
+    private CompletableFuture<Read> later(Poll poll, Read empty) {
+        return watch.movedBeyond(poll.revision(), poll.deadlineNanos())
+                .thenCompose(
+                        moved -> moved ? answer(poll) : CompletableFuture.completedFuture(empty));
+    }
+
+    private static ApiResponse response(Read read) {
+        if (read.answer() instanceof ChangeHistory.Changes found) {
+            ChangesResponse body =
+                    new ChangesResponse(read.revision(), read.digest(), found.changes());
+            return ApiResponse.ok(new RawJson(ConfigurationJson.text(body)));
+        }
+        return switch ((ChangeHistory.Refusal) read.answer()) {
+            case DIVERGED -> error(CONFLICT, ErrorResponse.DIVERGED, read.revision(), 0);
+            case TRUNCATED -> error(GONE, ErrorResponse.TRUNCATED, read.revision(), 0);
+            case BEHIND -> error(MISDIRECTED, ErrorResponse.BEHIND, read.revision(), 0);
+        };
+    }
+
+    private static ApiResponse error(int status, String error, long revision, long retryMs) {
+        ErrorResponse body = new ErrorResponse(error, revision, retryMs);
+        return new ApiResponse(status, new RawJson(ConfigurationJson.text(body)));
+    }
+
+    // ---- snapshots
+
+    private CompletableFuture<ApiResponse> snapshot(ApiRequest request) {
+        long revision = request.wholeParameter("revision", SnapshotPager.NEWEST, MAX_REVISION);
+        int most = ConfigurationLimits.ENTRIES_PER_PAGE;
+        int limit = (int) request.wholeParameter("limit", most, most);
+        EntryKey from = key(request.parameter("from", ""));
+        boolean current = request.wholeParameter("current", 0, 1) == 1;
+        if (pages.incrementAndGet() > MAX_CONCURRENT_PAGES) {
+            pages.decrementAndGet();
+            return CompletableFuture.completedFuture(
+                    error(UNAVAILABLE, ErrorResponse.BUSY, 0, BUSY_RETRY_MS));
+        }
+        return replica.read(state -> page(state, revision, from, limit), !current)
+                .thenApplyAsync(PageRead::response)
+                .whenComplete((response, failure) -> pages.decrementAndGet());
+    }
+
+    /** A page or, where the snapshot is gone, none; and the newest revision. */
+    private record PageRead(SnapshotPage page, long newest) {
+        ApiResponse response() {
+            return page == null
+                    ? error(GONE, ErrorResponse.TRUNCATED, newest, 0)
+                    : ApiResponse.ok(new RawJson(ConfigurationJson.text(page)));
+        }
+    }
+
+    private PageRead page(GroupState state, long revision, EntryKey from, int limit) {
+        SnapshotPage page = pager.page(state.configuration().view(), revision, from, limit);
+        return new PageRead(page, state.configuration().revision());
+    }
+
+    private static EntryKey key(String text) {
+        try {
+            return text.isEmpty() ? null : EntryKey.parse(text);
+        } catch (IllegalArgumentException bad) {
+            throw new BadRequestException("'from': " + bad.getMessage());
+        }
+    }
+
+    // ---- what the leader tells
+
+    private CompletableFuture<ApiResponse> status(ApiRequest request) {
+        long asked = request.wholeParameter("revision", 0, MAX_REVISION);
+        return replica.read(state -> status(state.configuration(), asked), false)
+                .thenApply(ApiResponse::ok);
+    }
+
+    private Status status(ConfigurationRegistry configuration, long asked) {
+        long revision = asked == 0 ? configuration.revision() : asked;
+        synchronized (reports) {
+            return new Status(
+                    configuration.revision(),
+                    ConfigurationJson.text(configuration.digest()),
+                    revision,
+                    reports.zones(revision, nowMs()));
+        }
+    }
+
+    /** Only the leader keeps reports, so a new leader begins with none. */
+    private CompletableFuture<ApiResponse> report(ApiRequest request) {
+        FollowerReport report;
+        try {
+            report = Codec.strictly(request.body(), FollowerReport.class);
+        } catch (JsonProcessingException malformed) {
+            throw new BadRequestException("no report: " + ApiRequest.firstLine(malformed));
+        }
+        if (report.fault() != null) {
+            throw new BadRequestException(report.fault());
+        }
+        if (!replica.leads()) {
+            return CompletableFuture.completedFuture(
+                    ApiResponse.notLeader(replica.leaderClients()));
+        }
+        synchronized (reports) {
+            reports.take(report, nowMs());
+        }
+        return CompletableFuture.completedFuture(ApiResponse.ok(Map.of("taken", true)));
+    }
+
+    private CompletableFuture<ApiResponse> history(ApiRequest request) {
+        long after = request.wholeParameter("after", 0, MAX_REVISION);
+        int most = ConfigurationLimits.CHANGES_PER_ANSWER;
+        int limit = (int) request.wholeParameter("limit", DEFAULT_HISTORY, most);
+        return replica.read(state -> state.configuration().history(after, limit), false)
+                .thenApply(ApiResponse::ok);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NANOS_PER_MS;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/api/RawJson.java
@@ -0,0 +1,14 @@
+package saltstage.coordinator.api;
+
+import com.fasterxml.jackson.annotation.JsonRawValue;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** A response's body that is JSON text already. */
+record RawJson(String text) {
+    /** The text, written as it is. */
+    @JsonValue
+    @JsonRawValue
+    String json() {
+        return text;
+    }
+}
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/command/GroupConfigCommandTest.java
@@ -0,0 +1,269 @@
+package saltstage.coordinator.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ErrorResponse;
+import saltstage.configuration.SnapshotPage;
+import saltstage.coordinator.api.ApiHandler;
+import saltstage.coordinator.api.HttpListener;
+import saltstage.coordinator.configuration.ConfigurationCommands;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.replica.Replica;
+import saltstage.coordinator.replica.ReplicaSettings;
+import saltstage.net.NettyTransport;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.store.StoreEvents;
+import saltstage.store.StoreOptions;
+
+/** The configuration's commands and read API over HTTP, against a group of one replica. */
+class GroupConfigCommandTest {
+    private static final int ENGINE_SPEED = 7;
+    private static final long TEST_TIMEOUT_SECONDS = 20;
+    private static final String BACKEND = "address=10.0.0.7:4100,zone=a1";
+
+    @TempDir Path dir;
+
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final InetSocketAddress clients = freeAddress();
+    private Replica replica;
+    private HttpListener listener;
+    private String out;
+    private String err;
+
+    private static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        } catch (java.io.IOException failed) {
+            throw new java.io.UncheckedIOException(failed);
+        }
+    }
+
+    @BeforeEach
+    void startGroup() throws Exception {
+        ReplicaSettings settings =
+                new ReplicaSettings(
+                        "g",
+                        "a",
+                        List.of("a"),
+                        freeAddress(),
+                        clients,
+                        Map.of(),
+                        Map.of(),
+                        dir,
+                        ENGINE_SPEED,
+                        10_000,
+                        4_096,
+                        GroupState.SPEAKS,
+                        1,
+                        System::currentTimeMillis);
+        Store store = Store.open(new FileDisk(dir), StoreOptions.usual(), StoreEvents.NONE);
+        NettyTransport transport =
+                new NettyTransport(1, false, (where, fault) -> fault.printStackTrace());
+        replica =
+                new Replica(
+                        settings,
+                        store,
+                        transport,
+                        (code, why) -> System.err.println("replica ended: " + code + " " + why));
+        listener = new HttpListener(clients, new ApiHandler(replica));
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TEST_TIMEOUT_SECONDS);
+        while (body(get("/v1/status")).path("level").asInt() < ConfigurationCommands.SINCE) {
+            assertTrue(System.nanoTime() < deadline, "the group's level has not risen in time");
+            Thread.sleep(50);
+        }
+    }
+
+    @AfterEach
+    void stopGroup() throws Exception {
+        listener.close();
+        replica.close();
+    }
+
+    private URI uri(String path) {
+        return URI.create("http://127.0.0.1:" + clients.getPort() + path);
+    }
+
+    private HttpResponse<String> get(String path) throws Exception {
+        return http.send(
+                HttpRequest.newBuilder(uri(path)).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> post(String path, String body) throws Exception {
+        return http.send(
+                HttpRequest.newBuilder(uri(path))
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static JsonNode body(HttpResponse<String> response) throws Exception {
+        return Codec.json().readTree(response.body());
+    }
+
+    private int run(String... words) {
+        String[] all = new String[words.length + 3];
+        all[0] = "config";
+        System.arraycopy(words, 0, all, 1, words.length);
+        all[words.length + 1] = "--at";
+        all[words.length + 2] = "127.0.0.1:" + clients.getPort();
+        PrintStream usualOut = System.out;
+        PrintStream usualErr = System.err;
+        ByteArrayOutputStream newOut = new ByteArrayOutputStream();
+        ByteArrayOutputStream newErr = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(newOut, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(newErr, true, StandardCharsets.UTF_8));
+        try {
+            return Coordinator.run(all);
+        } finally {
+            System.setOut(usualOut);
+            System.setErr(usualErr);
+            out = newOut.toString(StandardCharsets.UTF_8);
+            err = newErr.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    @Test
+    void entriesArePutReadRefusedAndRolledBack() throws Exception {
+        assertEquals(0, run("put", "backend/gw-1", BACKEND, "shard/t/1", "gw-1"), () -> err);
+        assertEquals("revision 1, 2 changed\n", out);
+        assertEquals(1, run("put", "shard/t/1", "gw-2"));
+        assertTrue(err.contains("shard/t/1: 'gw-2' is not accepted; the identifier"), err);
+        assertEquals(1, run("put", "shard/t/1", "gw-1", "--expect", "shard/t/1=7"));
+        assertTrue(err.contains("it is at revision 1"), err);
+        Path file = dir.resolve("change.json");
+        Files.writeString(
+                file, "{\"mutations\":[{\"key\":\"shard/t/2\",\"shard\":{\"backend\":\"gw-1\"}}]}");
+        assertEquals(
+                0,
+                run(
+                        "put",
+                        "--file",
+                        file.toString(),
+                        "--delete",
+                        "shard/t/1",
+                        "--expect",
+                        "shard/t/1=1",
+                        "--by",
+                        "bea"));
+        assertEquals(0, run("get", "shard/"));
+        assertEquals("shard/t/2 gw-1 (revision 2)\n", out);
+        assertEquals(1, run("get", "suspension/"));
+        assertEquals(0, run("history"));
+        assertTrue(out.contains("bea, 2 changed\n  shard/t/1 deleted\n  shard/t/2 gw-1"), out);
+        assertEquals(1, run("rollback", "9"));
+        assertEquals(0, run("rollback", "1"), () -> err);
+        assertEquals(0, run("get", "--json"));
+        SnapshotPage page = ConfigurationJson.snapshotPage(out.trim());
+        assertEquals(3, page.revision());
+        assertEquals(2, page.entries().size());
+        assertEquals(0, run("rollback", "1"));
+        assertTrue(out.contains("all is as it was"), out);
+        assertEquals(2, run("get", "--none"));
+        assertEquals(1, run("put", "planet/x", "1"));
+    }
+
+    @Test
+    void followersAreAnsweredByTheTable() throws Exception {
+        run("put", "backend/gw-1", BACKEND);
+        String zero = "0000000000000000";
+        HttpResponse<String> first = get("/v1/configuration/changes?after=0&digest=" + zero);
+        assertEquals(200, first.statusCode());
+        String digest = ConfigurationJson.text(ConfigurationJson.changes(first.body()).digest());
+        assertError(409, "diverged", "changes?after=1&digest=" + zero);
+        assertError(421, "behind", "changes?after=2&digest=" + digest);
+        assertError(410, "truncated", "snapshot?revision=77");
+        assertEquals(400, get("/v1/configuration/changes?after=1").statusCode());
+        assertEquals(400, get("/v1/configuration/snapshot?from=x").statusCode());
+        HttpResponse<String> snapshot = get("/v1/configuration/snapshot?revision=0&limit=1");
+        assertEquals(
+                digest,
+                ConfigurationJson.text(ConfigurationJson.snapshotPage(snapshot.body()).digest()));
+        long began = System.nanoTime();
+        HttpResponse<String> none =
+                get("/v1/configuration/changes?after=1&waitMs=300&digest=" + digest);
+        assertTrue(System.nanoTime() - began >= TimeUnit.MILLISECONDS.toNanos(300));
+        assertEquals(0, ConfigurationJson.changes(none.body()).changes().size());
+        CompletableFuture<HttpResponse<String>> waiting =
+                http.sendAsync(
+                        HttpRequest.newBuilder(
+                                        uri(
+                                                "/v1/configuration/changes?after=1&waitMs=3000&digest="
+                                                        + digest))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+        run("put", "shard/t/1", "gw-1");
+        String woken = waiting.get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS).body();
+        assertEquals(2, ConfigurationJson.changes(woken).changes().get(0).revision());
+    }
+
+    private void assertError(int status, String error, String path) throws Exception {
+        HttpResponse<String> response = get("/v1/configuration/" + path);
+        assertEquals(status, response.statusCode());
+        assertEquals(new ErrorResponse(error, 1, 0), ConfigurationJson.error(response.body()));
+    }
+
+    @Test
+    void reportsAreShownAgainstTheRevisionThatIsAskedAbout() throws Exception {
+        run("put", "backend/gw-1", BACKEND);
+        String report =
+                "{\"distributor\":\"d1\",\"zone\":\"a1\",\"revision\":1,\"confirmedByRevision\":"
+                        + "{\"1\":190,\"0\":5},\"followers\":195,\"behind\":[{\"follower\":\"r7\","
+                        + "\"revision\":0,\"sinceMs\":400}]}";
+        assertEquals(200, post("/v1/configuration/reports", report).statusCode());
+        String none = report.replace("\"zone\":\"a1\",", "");
+        assertEquals(400, post("/v1/configuration/reports", none).statusCode());
+        JsonNode status = body(get("/v1/configuration/status"));
+        assertEquals(1, status.path("asked").asLong());
+        assertEquals(190, status.path("zones").path(0).path("confirmed").asInt());
+        assertEquals(0, run("status"));
+        assertTrue(out.contains("a1 by d1: 190 of 195 have it"), out);
+        assertTrue(out.contains("  r7 is at 0, behind for "), out);
+    }
+
+    @Test
+    void watchPrintsEachChangeAndNoGroupIsExitCode69() throws Exception {
+        run("put", "backend/gw-1", BACKEND);
+        CompletableFuture<Integer> watched =
+                CompletableFuture.supplyAsync(() -> run("watch", "--changes", "1"));
+        Thread.sleep(500);
+        String change =
+                "{\"client\":\"w\",\"seq\":%d,\"command\":{\"op\":\"change-configuration\",\"author\":"
+                        + "\"ana\",\"expected\":{},\"mutations\":[{\"key\":\"shard/t/%d\",\"shard\":"
+                        + "{\"backend\":\"gw-1\"}}]}}";
+        for (int seq = 1; !watched.isDone() && seq < 100; seq++) {
+            post("/v1/do", String.format(change, seq, seq));
+            Thread.sleep(100);
+        }
+        assertEquals(0, watched.get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(out.matches("revision \\d+\n  shard/t/\\d+ gw-1\n"), out);
+        String nowhere = "127.0.0.1:" + freeAddress().getPort();
+        assertEquals(
+                Coordinator.UNREACHABLE,
+                Coordinator.run("config", "get", "--within", "200ms", "--at", nowhere));
+    }
+}
--- a/relay/src/main/java/saltstage/configuration/ConfigurationLimits.java
+++ b/relay/src/main/java/saltstage/configuration/ConfigurationLimits.java
@@ -27,7 +27,7 @@
     public static final int CHANGES_KEPT = 4_096;
 
     /** Most bytes of the changes that a history keeps, by the same estimate. */
-    public static final int BYTES_KEPT = 8 * 1024 * 1024;
+    public static final int BYTES_KEPT = 4 * 1024 * 1024;
 
     /** Longest text of a setting, in characters. */
     public static final int SETTING_LENGTH = 2_000;
