--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/SnapshotPage.java
@@ -0,0 +1,18 @@
+package saltstage.configuration;
+
+import java.util.List;
+
+/**
+ * A part of all entries at one revision.
+ *
+ * @param revision the revision of the whole snapshot
+ * @param digest the digest of the whole snapshot
+ * @param entries by key
+ * @param next the first key of the next page; null on the last page
+ */
+public record SnapshotPage(long revision, long digest, List<Entry> entries, EntryKey next) {
+    /** Copies the list. */
+    public SnapshotPage {
+        entries = List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/SnapshotPager.java
@@ -0,0 +1,85 @@
+package saltstage.configuration;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Serves all entries in pages. A snapshot is made once per revision that is asked for as the newest
+ * one and shared by all who page through it; the newest two are held. Not thread safe.
+ */
+public final class SnapshotPager {
+    /** The revision that stands for the newest one. */
+    public static final long NEWEST = 0;
+
+    private static final int HELD = 2;
+
+    private record Snapshot(long revision, long digest, Entry[] entries) {}
+
+    private final Deque<Snapshot> held = new ArrayDeque<>(HELD);
+
+    /**
+     * A page.
+     *
+     * @param view what is in force now
+     * @param revision of which snapshot; {@link #NEWEST} for the view as it is now
+     * @param from the first key that is wanted; null for the first of all
+     * @param limit most entries; never more than {@link ConfigurationLimits#ENTRIES_PER_PAGE}
+     * @return null where that snapshot is not held any more
+     */
+    public SnapshotPage page(ConfigurationView view, long revision, EntryKey from, int limit) {
+        Snapshot snapshot = revision == NEWEST ? newest(view) : find(revision);
+        return snapshot == null ? null : page(snapshot, from, limit);
+    }
+
+    private Snapshot find(long revision) {
+        for (Snapshot snapshot : held) {
+            if (snapshot.revision() == revision) {
+                return snapshot;
+            }
+        }
+        return null;
+    }
+
+    private Snapshot newest(ConfigurationView view) {
+        Snapshot newest = held.peekFirst();
+        if (newest != null
+                && newest.revision() == view.revision()
+                && newest.digest() == view.digest()) {
+            return newest;
+        }
+        held.removeIf(old -> old.revision() == view.revision());
+        if (held.size() == HELD) {
+            held.removeLast();
+        }
+        Entry[] entries = view.entries().values().toArray(Entry[]::new);
+        held.addFirst(new Snapshot(view.revision(), view.digest(), entries));
+        return held.peekFirst();
+    }
+
+    private static SnapshotPage page(Snapshot snapshot, EntryKey from, int limit) {
+        Entry[] entries = snapshot.entries();
+        int begin = from == null ? 0 : indexOf(entries, from);
+        int most = Math.max(1, Math.min(limit, ConfigurationLimits.ENTRIES_PER_PAGE));
+        int end = Math.min(entries.length, begin + most);
+        List<Entry> some = Arrays.asList(entries).subList(begin, end);
+        EntryKey next = end < entries.length ? entries[end].key() : null;
+        return new SnapshotPage(snapshot.revision(), snapshot.digest(), some, next);
+    }
+
+    /** The index of the first entry whose key is not before this one. */
+    private static int indexOf(Entry[] entries, EntryKey key) {
+        int low = 0;
+        int high = entries.length;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (entries[middle].key().compareTo(key) < 0) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
+    }
+}
