Relay: follow configuration by revision where the settings name a source

Need: backends, suspensions and log settings of a fleet from one place, also while no source can be reached.

Change: the settings block 'configuration' names sources, zone, name and dir. What the disk holds is in force before the first client; backends go the way of discovery's lists, which is not asked then; suspensions hold beside those of operators, each lifts only its own; log.level and log.format change while the relay runs. A write tells the time of its answer with it, so that the age is known after a kill.

--- a/deploy/saltstage.hcl
+++ b/deploy/saltstage.hcl
@@ -16,6 +16,15 @@
 #   compaction_rate = "4MiB"                 # bytes a second that compaction may copy
 # }
 
+# Configuration by revision from sources that the fleet shares, in place of discovery. Leave the block out and nothing of it is
+# loaded, as on the platform. docs/operators/configuration.md tells what is taken from it.
+# configuration {
+#   sources = ["127.0.0.1:7300", "127.0.0.1:7301"]   # the preferred one first, usually the distributor of the relay's zone
+#   zone    = "a"                                    # the zone that this relay runs in
+#   name    = "n0"                                   # what sources call it (default: the relay's name)
+#   dir     = "/var/lib/saltstage/n0-configuration"  # one directory a relay, not that of 'store'; made if it is not there
+# }
+
 # AMQP 1.0 beside the lines. Leave the block out and nothing listens, as on the platform. docs/operators/amqp.md tells what
 # each limit protects. Nobody may come in unless 'secrets' or 'anonymous_tenant' is named.
 # amqp {
--- a/relay/src/main/java/saltstage/configuration/follower/ConfigurationStore.java
+++ b/relay/src/main/java/saltstage/configuration/follower/ConfigurationStore.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -71,12 +72,14 @@
     }
 
     private final Store store;
+    private final Clock clock;
     private final HeldConfiguration held;
     private State durable;
     private Instant confirmationKept;
 
-    private ConfigurationStore(Store store) throws IOException {
+    private ConfigurationStore(Store store, Clock clock) throws IOException {
         this.store = store;
+        this.clock = clock;
         held = held(store);
         durable = new State(held.view().revision(), held.view().digest());
         confirmationKept = held.confirmedAt();
@@ -88,16 +91,18 @@
      * digest.
      */
     public static ConfigurationStore open(Disk disk, StoreEvents events) throws IOException {
-        return open(disk, true, events);
+        return open(
+                disk,
+                new StoreOptions(SEGMENT_BYTES, true, COMPACTION_BYTES_PER_SECOND),
+                Clock.systemUTC(),
+                events);
     }
 
-    static ConfigurationStore open(Disk disk, boolean background, StoreEvents events)
+    static ConfigurationStore open(Disk disk, StoreOptions options, Clock clock, StoreEvents events)
             throws IOException {
-        StoreOptions options =
-                new StoreOptions(SEGMENT_BYTES, background, COMPACTION_BYTES_PER_SECOND);
         Store store = Store.open(disk, options, events);
         try {
-            return new ConfigurationStore(store);
+            return new ConfigurationStore(store, clock);
         } catch (IOException | RuntimeException unsound) {
             store.close();
             throw unsound;
@@ -212,8 +217,10 @@
         if (after.equals(durable)) {
             return;
         }
-        store.commit(batch.put(STATE, after.encode()));
+        Instant now = clock.instant(); // what a source has just told counts as confirmed
+        store.commit(batch.put(STATE, after.encode()).put(CONFIRMED, encode(now)));
         durable = after;
+        confirmationKept = now;
     }
 
     private static void put(Batch batch, Mutation mutation, long revision) {
@@ -237,10 +244,14 @@
         if (recent || durable.equals(State.EMPTY)) {
             return;
         }
-        store.put(CONFIRMED, ByteBuffer.allocate(Long.BYTES).putLong(at.toEpochMilli()).array());
+        store.put(CONFIRMED, encode(at));
         confirmationKept = at;
     }
 
+    private static byte[] encode(Instant at) {
+        return ByteBuffer.allocate(Long.BYTES).putLong(at.toEpochMilli()).array();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/relay/src/main/java/saltstage/configuration/follower/FollowerEffect.java
+++ b/relay/src/main/java/saltstage/configuration/follower/FollowerEffect.java
@@ -41,7 +41,7 @@
     /** This view is durable and in force from now on; not to be kept, it changes later. */
     record SnapshotInForce(ConfigurationView view) implements FollowerEffect {}
 
-    /** A source has just said that it has nothing newer than this revision. */
+    /** By its last answer the source has nothing newer than this revision, which is in force. */
     record Confirmed(long revision) implements FollowerEffect {}
 
     /** A source answers requests from now on. */
--- a/relay/src/main/java/saltstage/configuration/follower/FollowerState.java
+++ b/relay/src/main/java/saltstage/configuration/follower/FollowerState.java
@@ -61,6 +61,7 @@
     private Duration requestWait = Duration.ZERO;
     private SnapshotAssembly snapshot;
     private List<Change> writtenChanges;
+    private boolean caughtUp;
     private List<FollowerEffect> effects = new ArrayList<>();
 
     /**
@@ -181,7 +182,7 @@
         } else if (response.changes().isEmpty()) {
             nothingNew(response, received.elapsed());
         } else {
-            acceptChanges(response.changes());
+            acceptChanges(response);
         }
     }
 
@@ -201,10 +202,10 @@
     }
 
     /** Takes the changes up to the first that is not sound. */
-    private void acceptChanges(List<Change> changes) {
+    private void acceptChanges(ChangesResponse response) {
         List<Change> accepted = new ArrayList<>();
         String unsound = null;
-        for (Change change : changes) {
+        for (Change change : response.changes()) {
             ConfigurationView.Outcome outcome = view.apply(change);
             if (outcome == ConfigurationView.Outcome.APPLIED) {
                 accepted.add(change);
@@ -219,6 +220,7 @@
         }
         settle();
         writtenChanges = List.copyOf(accepted);
+        caughtUp = view.revision() == response.revision() && view.digest() == response.digest();
         write();
     }
 
@@ -235,6 +237,7 @@
             }
             view = whole;
             writtenChanges = null;
+            caughtUp = false;
             write();
         } catch (SnapshotAssembly.UnsoundSnapshotException unsound) {
             leaveSource(unsound.getMessage());
@@ -374,6 +377,9 @@
                 snapshot != null
                         ? new FollowerEffect.SnapshotInForce(view)
                         : new FollowerEffect.ChangesInForce(writtenChanges));
+        if (caughtUp) {
+            effects.add(new FollowerEffect.Confirmed(view.revision()));
+        }
         writeFailures = 0;
         tookSnapshot = snapshot != null;
         snapshot = null;
--- a/relay/src/main/java/saltstage/configuration/follower/HeldConfiguration.java
+++ b/relay/src/main/java/saltstage/configuration/follower/HeldConfiguration.java
@@ -7,7 +7,7 @@
  * What a disk held at the start.
  *
  * @param view a copy that belongs to the caller
- * @param confirmedAt when a source last said that it has nothing newer; null: never
+ * @param confirmedAt when a source last told or confirmed this state; null: never
  */
 public record HeldConfiguration(ConfigurationView view, Instant confirmedAt) {
     /** Nothing, at revision 0. */
--- a/relay/src/main/java/saltstage/handover/Bans.java
+++ b/relay/src/main/java/saltstage/handover/Bans.java
@@ -27,6 +27,7 @@
     private final Whole file;
     private final FileChannel lock;
     private volatile Set<String> ids = Set.of();
+    private volatile Set<String> configured = Set.of();
     private List<Object> seen = List.of();
     private boolean torn;
 
@@ -45,12 +46,30 @@
 
     /** Whether this backend is suspended. */
     public boolean has(String id) {
-        return ids.contains(id);
+        return ids.contains(id) || configured.contains(id);
     }
 
     /** All that are suspended. */
     public Set<String> all() {
-        return ids;
+        if (configured.isEmpty()) {
+            return ids;
+        }
+        Set<String> all = new TreeSet<>(ids);
+        all.addAll(configured);
+        return Set.copyOf(all);
+    }
+
+    /** Whether configuration suspends this backend, whatever operators of this relay have said. */
+    public boolean isConfigured(String id) {
+        return configured.contains(id);
+    }
+
+    /**
+     * Replaces the backends that configuration suspends, beside those that operators of this relay have
+     * suspended: one lifts only what it has set. They are in no file; each process hears of them itself.
+     */
+    public void configure(Set<String> suspended) {
+        configured = Set.copyOf(suspended);
     }
 
     /** Suspends or restores a backend; when this returns, that is durable. */
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/BackendEntries.java
@@ -0,0 +1,86 @@
+package saltstage.lifecycle;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltstage.configuration.EntryValue;
+import saltstage.log.Log;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/** The backends of the configuration as lists in discovery's form. Not thread safe. */
+final class BackendEntries {
+    private static final int LONGEST_ID = 128;
+
+    private final Map<String, HostList.Entry> held = new TreeMap<>();
+    private final Map<String, HostList.Entry> changed = new TreeMap<>();
+
+    /** Forgets all; what is set from here on is the whole list. */
+    void clear() {
+        held.clear();
+        changed.clear();
+    }
+
+    /** A backend says this from now on; null: it is deleted. */
+    void set(String id, EntryValue.Backend value) {
+        HostList.Entry entry = value == null ? null : entry(id, value);
+        HostList.Entry before = entry == null ? held.remove(id) : held.put(id, entry);
+        if (entry != null) {
+            changed.put(id, entry);
+        } else if (before != null) {
+            changed.put(id, gone(before));
+        }
+    }
+
+    /** Whether any backend is named. */
+    boolean isEmpty() {
+        return held.isEmpty();
+    }
+
+    /** All that are named. */
+    HostList all(long revision) {
+        changed.clear();
+        return new HostList(revision, true, List.copyOf(held.values()));
+    }
+
+    /** What has changed since the last call of this or of {@link #all}; null where nothing has. */
+    HostList changes(long revision) {
+        if (changed.isEmpty()) {
+            return null;
+        }
+        Collection<HostList.Entry> entries = new ArrayList<>(changed.values());
+        changed.clear();
+        return new HostList(revision, false, List.copyOf(entries));
+    }
+
+    private static HostList.Entry gone(HostList.Entry before) {
+        return new HostList.Entry(before.uid(), before.endpoint(), before.zone(), before.cell(),
+            HostList.State.GONE, before.weight(), before.startedAt());
+    }
+
+    /** Null where lists cannot carry it; that is logged, and the backend is as one that is deleted. */
+    private static HostList.Entry entry(String id, EntryValue.Backend value) {
+        if (id.length() > LONGEST_ID) {
+            Log.warn("configuration.backend.refused", "peer", id, "why", "an id of over 128 characters");
+            return null;
+        }
+        try {
+            return new HostList.Entry(id, HostList.address(value.address()), value.zone(), value.cell(),
+                state(value.state()), value.weight(), Instant.ofEpochMilli(value.startedAtMs()));
+        } catch (MalformedException notInFigures) {
+            Log.warn("configuration.backend.refused", "peer", id, "why", notInFigures.getMessage());
+            return null;
+        }
+    }
+
+    private static HostList.State state(EntryValue.BackendState state) {
+        return switch (state) {
+            case READY -> HostList.State.READY;
+            case DRAINING -> HostList.State.DRAINING;
+            case GONE -> HostList.State.GONE;
+        };
+    }
+}
--- a/relay/src/main/java/saltstage/lifecycle/Clerk.java
+++ b/relay/src/main/java/saltstage/lifecycle/Clerk.java
@@ -109,7 +109,8 @@
                 bans.set(id, banned);
                 apply();
                 Log.info(banned ? "backend.suspended" : "backend.restored", "peer", id);
-                answer.complete(null);
+                answer.complete(!banned && bans.isConfigured(id) ? "still suspended by configuration: " + id
+                    : null);
             } catch (IOException failed) {
                 Log.warn("bans.unwritten", "peer", id, "why", failed.getMessage());
                 answer.complete("not kept: " + failed.getMessage());
--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -52,6 +52,7 @@
     private final Peers peers;
     private final Clerk clerk;
     private final Subscription subscription;
+    private final SharedConfiguration shared;
     private final Object reloading = new Object();
     private final CountDownLatch firstList = new CountDownLatch(1);
     private final Chain chain;
@@ -80,15 +81,18 @@
         this.operator = operator;
         keeper = operator.keeping().map(keeping -> Keeper.open(keeping, clock::now)).orElse(null);
         Path folder = surroundings.folder();
-        boolean shared = surroundings.inheritsListener() && folder != null;
+        boolean handsOver = surroundings.inheritsListener() && folder != null;
         bans = new Bans(admin() == null ? null : folder, config.name());
         counts = new Counts(config.classes());
         peers = new Peers(bans::has);
         chain = new Chain(config, clock, timers, peers, counts, this::watch);
-        clerk = new Clerk(clock, peers, chain, counts, bans, shared ? claim(folder) : null,
-            shared ? folder.resolve(config.name() + ".takeover") : null);
+        clerk = new Clerk(clock, peers, chain, counts, bans, handsOver ? claim(folder) : null,
+            handsOver ? folder.resolve(config.name() + ".takeover") : null);
         subscription = new Subscription(config.discovery(), !config.settings().asksForList(), timers,
             peers::rev, this::heard, chain.route()::listRefused);
+        shared = operator.following().isEmpty() ? null
+            : SharedConfiguration.open(operator.following().get(), operator.logging(), config.name(), bans,
+                this::heard);
     }
 
     private Slots claim(Path folder) {
@@ -121,15 +125,16 @@
             Threads.loop("admin", operators::round);
         }
         Takeover left = clerk.found();
-        HostList known = newestKnown(left);
+        HostList known = known(left);
         clerk.listed(known);
         peers.update(known);
+        if (shared != null) {
+            chain.admit().reserve(SharedConfiguration.DESCRIPTORS);
+        }
         chain.descriptors(config.sockets()); // probes of these backends take theirs
         Threads.loop("timers", () -> timers.next().run());
         chain.route().start(known);
-        if (!config.settings().asksForList()) {
-            subscription.ask(); // the module does not: to it, lists that are pushed come by themselves
-        }
+        beginToHearLists();
         if (left != null) {
             chain.route().learn(left.learnt());
         }
@@ -147,7 +152,7 @@
         }
         ClientListener clients = surroundings.inheritsListener() ? ClientListener.inherited()
             : ClientListener.at(config.listen());
-        if (admin() != null || surroundings.inheritsListener()) {
+        if (admin() != null || surroundings.inheritsListener() || shared != null) {
             clerk.look(); // bans and the part of the descriptors hold before the first client
             Threads.loop("clerk", clerk::round);
         }
@@ -166,7 +171,7 @@
      */
     private void awaitAgent() throws IOException {
         try {
-            if (!config.settings().asksForList()
+            if (!config.settings().asksForList() && shared == null
                     && !firstList.await(AGENT.toMillis(), TimeUnit.MILLISECONDS)) {
                 Log.warn("discovery.none", "rev", peers.rev());
             }
@@ -175,6 +180,18 @@
         }
     }
 
+    private HostList known(Takeover left) {
+        return shared == null ? newestKnown(left) : shared.knownList().orElseGet(() -> newestKnown(left));
+    }
+
+    private void beginToHearLists() {
+        if (shared != null) {
+            shared.start();
+        } else if (!config.settings().asksForList()) {
+            subscription.ask(); // the module does not: to it, lists that are pushed come by themselves
+        }
+    }
+
     private void startAmqp(AmqpSettings settings) throws IOException {
         Transport transport = new NettyTransport(settings.loops(), true, (where, fault) ->
             Log.error("loop.fault." + where, fault));
@@ -214,13 +231,18 @@
             List<String> later = new ArrayList<>(read.differsFrom(config));
             AmqpFront.Change change = amqp == null || chosen.amqp().isEmpty() ? null
                 : amqp.change(chosen.amqp().get()); // all is checked before anything is in force
-            subscription.moveTo(read.discovery());
+            if (shared == null) {
+                subscription.moveTo(read.discovery());
+            }
             if (change != null) {
                 later.addAll(change.apply());
             } else if (amqp != null || chosen.amqp().isPresent()) {
                 later.add("amqp"); // a front is neither begun nor ended beside connections that stand
             }
-            LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
+            if (!chosen.following().equals(this.operator.following())) {
+                later.add("configuration");
+            }
+            use(chosen.logging());
             if (keeper != null) {
                 keeper.accepted(read.text(), chosen.text());
             }
@@ -230,6 +252,14 @@
         }
     }
 
+    private void use(OperatorSettings.Logging logging) {
+        if (shared != null) {
+            shared.useLogging(logging); // a setting of the configuration goes before the file's
+        } else {
+            LogSetup.use(logging.format(), logging.level().name());
+        }
+    }
+
     /** SIGTERM: moves all clients, returns when none is left or time is up; false where the start failed. */
     boolean drain() {
         if (failed) {
@@ -250,6 +280,9 @@
         if (keeper != null) {
             keeper.close(LAST_WRITE);
         }
+        if (shared != null) {
+            shared.close(LAST_WRITE);
+        }
         return true;
     }
 
@@ -290,13 +323,15 @@
     }
 
     private void watch() {
-        subscription.ask();
+        if (shared == null) {
+            subscription.ask();
+        }
     }
 
     private void heard(HostList list) {
         clerk.listed(list);
         chain.listed(peers.update(list), list);
-        if (keeper != null) {
+        if (keeper != null && shared == null) { // else its revisions are the configuration's, kept with it
             keeper.listed(peers.list());
         }
         firstList.countDown();
--- /dev/null
+++ b/relay/src/main/java/saltstage/lifecycle/SharedConfiguration.java
@@ -0,0 +1,284 @@
+package saltstage.lifecycle;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import saltstage.config.OperatorSettings;
+import saltstage.configuration.Change;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.configuration.follower.ConfigurationClient;
+import saltstage.configuration.follower.ConfigurationDirectory;
+import saltstage.configuration.follower.FollowerListener;
+import saltstage.configuration.follower.FollowerOptions;
+import saltstage.configuration.follower.FollowerResources;
+import saltstage.configuration.follower.FollowerTimings;
+import saltstage.configuration.follower.HeldConfiguration;
+import saltstage.handover.Bans;
+import saltstage.log.Log;
+import saltstage.wire.HostList;
+
+/**
+ * Configuration by revision as this relay follows it: what the disk holds is in force at once, what
+ * sources tell once it is on the disk. Backends go the way of discovery's lists, suspensions that of
+ * operators' calls. Loaded only where the operator's settings name a source.
+ */
+final class SharedConfiguration {
+    /** Connections to sources, the client's selector and the store's files. */
+    static final int DESCRIPTORS = 24;
+
+    /** A follower hears at least every 25 s; three times that without a word is too long. */
+    private static final Duration STALE = Duration.ofSeconds(75);
+    private static final Duration STALE_CHECK = Duration.ofSeconds(15);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final ConfigurationDirectory directory;
+    private final ConfigurationClient client;
+    private final ScheduledExecutorService scheduler =
+        Executors.newSingleThreadScheduledExecutor(daemon("configuration"));
+    private final ExecutorService writer = Executors.newSingleThreadExecutor(daemon("configuration-store"));
+    private final Bans bans;
+    private final Consumer<HostList> listed;
+    private final BackendEntries backends = new BackendEntries();
+    private final ConfiguredSettings settings;
+    private final Set<String> suspended = new TreeSet<>();
+    private final Map<String, String> shards = new ConcurrentHashMap<>();
+    private volatile Instant confirmedAt;
+    private boolean listHandedOver;
+
+    private SharedConfiguration(OperatorSettings.Following following, OperatorSettings.Logging logging,
+            String relayName, Bans bans, Consumer<HostList> listed) throws IOException {
+        this.bans = bans;
+        this.listed = listed;
+        settings = new ConfiguredSettings(logging);
+        directory = open(following.dir());
+        HeldConfiguration held = directory.held();
+        confirmedAt = held.confirmedAt();
+        takeAll(held.view());
+        listHandedOver = !backends.isEmpty(); // as the list that is known at the start
+        Log.info("configuration.kept", "rev", held.view().revision(), "entries", held.view().entries().size(),
+            "age_ms", age());
+        client = new ConfigurationClient(options(following, relayName), resources(), directory, held.view(),
+            new Listener());
+    }
+
+    /** Opens the directory and puts what it holds in force; the client is not started. */
+    static SharedConfiguration open(OperatorSettings.Following following, OperatorSettings.Logging logging,
+            String relayName, Bans bans, Consumer<HostList> listed) throws IOException {
+        return new SharedConfiguration(following, logging, relayName, bans, listed);
+    }
+
+    private static ConfigurationDirectory open(Path dir) throws IOException {
+        try {
+            return new ConfigurationDirectory(dir, Log::warn);
+        } catch (IOException unusable) { // without a disk nothing could ever be confirmed
+            throw new IOException("configuration: cannot open dir " + dir + ": " + unusable, unusable);
+        }
+    }
+
+    private static FollowerOptions options(OperatorSettings.Following following, String relayName) {
+        List<URI> sources = following.sources().stream().map(FollowerOptions::source).toList();
+        String name = following.name().isEmpty() ? relayName : following.name();
+        return new FollowerOptions(sources, name, following.zone(), FollowerTimings.usual());
+    }
+
+    private FollowerResources resources() {
+        HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT).executor(scheduler).build();
+        RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
+        return new FollowerResources(http, scheduler, writer, Clock.systemUTC(), random);
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /** The list of backends that the disk held; none where it named none. */
+    synchronized Optional<HostList> knownList() {
+        return backends.isEmpty() ? Optional.empty() : Optional.of(backends.all(client.revision()));
+    }
+
+    /** The backend that a shard is placed at, by topic and number such as "topic-7/3". */
+    Optional<String> shard(String name) {
+        return Optional.ofNullable(shards.get(name));
+    }
+
+    /** Begins to follow. */
+    void start() {
+        client.start();
+        scheduler.scheduleWithFixedDelay(this::checkAge, STALE_CHECK.toMillis(), STALE_CHECK.toMillis(),
+            TimeUnit.MILLISECONDS);
+    }
+
+    /** The operator's file was read anew. */
+    void useLogging(OperatorSettings.Logging logging) {
+        settings.useFile(logging);
+    }
+
+    /** Ends; a write that is under way is waited for within the limit. */
+    void close(Duration limit) {
+        client.close();
+        scheduler.shutdownNow();
+        writer.shutdown();
+        try {
+            if (writer.awaitTermination(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+                directory.close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            Log.warn("configuration.unwritten", "why", e.getMessage());
+        }
+    }
+
+    /** Milliseconds since a source last told or confirmed what is held; -1: none ever did. */
+    private long age() {
+        Instant at = confirmedAt;
+        return at == null ? -1 : Math.max(0, Duration.between(at, Instant.now()).toMillis());
+    }
+
+    private void checkAge() {
+        long age = age();
+        if (age < 0 || age > STALE.toMillis()) {
+            Log.warn("configuration.stale", "rev", client.revision(), "age_ms", age, "source",
+                client.source());
+        }
+    }
+
+    // ---- entries
+
+    private synchronized void takeAll(ConfigurationView view) {
+        backends.clear();
+        settings.clear();
+        suspended.clear();
+        shards.clear();
+        view.entries().forEach((key, entry) -> take(key, entry.value()));
+        putInForce();
+    }
+
+    private void take(EntryKey key, EntryValue value) {
+        String name = key.name();
+        switch (key.kind()) {
+            case BACKEND -> backends.set(name, (EntryValue.Backend) value);
+            case SETTING -> settings.set(name, value == null ? null : ((EntryValue.Setting) value).text());
+            case SUSPENSION -> suspend(name, value != null);
+            case SHARD -> place(name, (EntryValue.Shard) value);
+        }
+    }
+
+    private void suspend(String backend, boolean suspend) {
+        if (suspend) {
+            suspended.add(backend);
+        } else {
+            suspended.remove(backend);
+        }
+    }
+
+    private void place(String shard, EntryValue.Shard value) {
+        if (value == null) {
+            shards.remove(shard);
+        } else {
+            shards.put(shard, value.backend());
+        }
+    }
+
+    private void putInForce() {
+        settings.apply();
+        bans.configure(suspended); // before the list: a new backend may be suspended from its first moment
+    }
+
+    private void handOver(HostList list) {
+        if (list != null) {
+            listHandedOver = true;
+            listed.accept(list);
+        }
+    }
+
+    private void applied(long revision) {
+        confirmedAt = Instant.now();
+        Log.info("configuration.applied", "rev", revision, "age_ms", age());
+    }
+
+    /** What the follower tells, one call at a time. */
+    private final class Listener implements FollowerListener {
+        @Override
+        public void changesInForce(List<Change> changes) {
+            long revision = changes.get(changes.size() - 1).revision();
+            synchronized (SharedConfiguration.this) {
+                for (Change change : changes) {
+                    for (Mutation mutation : change.mutations()) {
+                        take(mutation.key(), mutation.value());
+                    }
+                }
+                putInForce();
+                handOver(listHandedOver ? backends.changes(revision) : null);
+            }
+            applied(revision);
+        }
+
+        @Override
+        public void snapshotInForce(ConfigurationView view) {
+            synchronized (SharedConfiguration.this) {
+                takeAll(view);
+                handOver(listHandedOver || !backends.isEmpty() ? backends.all(view.revision()) : null);
+            }
+            applied(view.revision());
+        }
+
+        /** The platform's list stays in force until the configuration is known whole and names a backend. */
+        @Override
+        public void confirmed(long revision) {
+            confirmedAt = client.confirmedAt();
+            synchronized (SharedConfiguration.this) {
+                if (!listHandedOver && !backends.isEmpty()) {
+                    handOver(backends.all(revision));
+                }
+            }
+        }
+
+        @Override
+        public void sourceSettled(URI source) {
+            Log.info("configuration.source", "source", source, "rev", client.revision());
+        }
+
+        @Override
+        public void sourceLeft(URI source, URI next, String reason) {
+            Log.warn("configuration.source.left", "source", source, "next", next, "why", reason,
+                "rev", client.revision());
+        }
+
+        @Override
+        public void writePostponed(String reason) {
+            Log.warn("configuration.unwritten", "why", reason);
+        }
+
+        @Override
+        public void fault(RuntimeException fault) {
+            Log.error("configuration.fault", fault);
+        }
+    }
+}
--- a/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
+++ b/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
@@ -29,6 +29,15 @@
         assertTrue(OperatorSettings.of("f.hcl", "").keeping().isEmpty());
     }
 
+    @Test
+    void takesWhereConfigurationComesFrom() throws MalformedException {
+        assertTrue(OperatorSettings.none().following().isEmpty());
+        OperatorSettings.Following read = OperatorSettings.of("f.hcl", "configuration {\n  sources = "
+            + "[\"127.0.0.1:7300\", \"127.0.0.2:7300\"]\n  dir = \"/d\"\n}\n").following().orElseThrow();
+        assertEquals(new OperatorSettings.Following(java.util.List.of("127.0.0.1:7300", "127.0.0.2:7300"), "",
+            "", Path.of("/d")), read);
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
         "log { colour = 1 }                   | f.hcl:1: log: unknown attribute 'colour'",
@@ -54,6 +63,14 @@
             + "'link_bytes' must hold at least four frames of 'frame'",
         "amqp {^ listen = \"127.0.0.1:1\"^ anonymous_tenant = \"t\"^ speed = 1^} | f.hcl:4: amqp: unknown "
             + "attribute 'speed'",
+        "configuration {^ dir = \"d\"^}       | f.hcl:1: configuration: 'sources' is missing",
+        "configuration {^ sources = [\"127.0.0.1:1\"]^} | f.hcl:1: configuration: 'dir' is missing",
+        "configuration {^ dir = \"d\"^ sources = [\"here:1\"]^} | f.hcl:3: configuration: 'sources' takes "
+            + "addresses in figures with a port, such as \"127.0.0.1:7300\"",
+        "configuration {^ dir = \"d\"^ sources = [\"127.0.0.1:1\"]^ zone = \"a b\"^} | f.hcl:4: "
+            + "configuration: 'zone' takes up to 60 letters, digits, '.', '_' and '-'",
+        "configuration {^ dir = \"d\"^ sources = [\"127.0.0.1:1\"]^ name = \"a b\"^} | f.hcl:4: "
+            + "configuration: 'name' takes up to 160 visible ASCII characters",
         "@@                                   | f.hcl:1: '@' cannot stand here",
         "^= 3                                 | f.hcl:2: '=' cannot stand here",
         "log {^ level = file(\"x\")^}         | f.hcl:2: 'level' takes plain values only: texts, numbers, "
--- a/relay/src/test/java/saltstage/configuration/follower/ConfigurationStoreTest.java
+++ b/relay/src/test/java/saltstage/configuration/follower/ConfigurationStoreTest.java
@@ -8,7 +8,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.time.Instant;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -28,7 +30,9 @@
 /** Whatever happens to the disk at whichever step, it holds exactly a state that was accepted. */
 class ConfigurationStoreTest {
     private static final Instant NOON = Instant.parse("2026-01-01T12:00:00Z");
+    private static final Clock CLOCK = Clock.fixed(NOON, ZoneOffset.UTC);
     private static final int CRASHES_PER_STEP = 6;
+    private static final StoreOptions SMALL = new StoreOptions(4 << 10, false, 1 << 20);
     private static final long SNAPSHOT = 9;
 
     private final ScriptedHistory history = new ScriptedHistory(12, "a");
@@ -41,10 +45,11 @@
         long attempted;
 
         void on(FaultDisk disk) throws IOException {
-            ConfigurationStore store = ConfigurationStore.open(disk, false, StoreEvents.NONE);
+            ConfigurationStore store =
+                    ConfigurationStore.open(disk, SMALL, CLOCK, StoreEvents.NONE);
             write(store, 1, 1);
             write(store, 2, 4);
-            store.confirmed(NOON);
+            store.confirmed(NOON.plusSeconds(60));
             attempted = SNAPSHOT;
             store.replace(history.at(SNAPSHOT));
             durable = SNAPSHOT;
@@ -60,7 +65,7 @@
 
         void check(FaultDisk after) throws IOException {
             try (ConfigurationStore store =
-                    ConfigurationStore.open(after, false, StoreEvents.NONE)) {
+                    ConfigurationStore.open(after, SMALL, CLOCK, StoreEvents.NONE)) {
                 ConfigurationView view = store.held().view();
                 assertTrue(
                         view.revision() == durable || view.revision() == attempted,
@@ -101,11 +106,11 @@
     @Test
     void whatOneProcessWroteAnotherSkips() throws IOException {
         FaultDisk disk = new FaultDisk();
-        try (ConfigurationStore store = ConfigurationStore.open(disk, false, StoreEvents.NONE)) {
+        try (ConfigurationStore store =
+                ConfigurationStore.open(disk, SMALL, CLOCK, StoreEvents.NONE)) {
             store.write(history.changes(1, 5).changes());
             store.write(history.changes(3, 7).changes());
             assertThrows(IOException.class, () -> store.write(history.changes(9, 9).changes()));
-            store.confirmed(NOON);
             store.confirmed(NOON.plusSeconds(1)); // not worth a write
         }
         HeldConfiguration held = ConfigurationStore.read(disk);
@@ -113,6 +118,19 @@
         assertEquals(NOON, held.confirmedAt());
     }
 
+    @Test
+    void aConfirmationIsKeptOnceTheLastOneIsOld() throws IOException {
+        FaultDisk disk = new FaultDisk();
+        try (ConfigurationStore store =
+                ConfigurationStore.open(disk, SMALL, CLOCK, StoreEvents.NONE)) {
+            store.confirmed(NOON); // of nothing: not kept
+            assertNull(ConfigurationStore.read(disk).confirmedAt());
+            store.write(history.changes(1, 1).changes());
+            store.confirmed(NOON.plusSeconds(31));
+        }
+        assertEquals(NOON.plusSeconds(31), ConfigurationStore.read(disk).confirmedAt());
+    }
+
     private Path setAside() throws IOException {
         try (var files = Files.list(folder)) {
             return files.filter(f -> f.getFileName().toString().contains(".set-aside-"))
