--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerReport.java
@@ -0,0 +1,39 @@
+package saltstage.coordinator.distribution;
+
+import java.util.List;
+import java.util.SortedMap;
+
+/**
+ * What the followers of one zone have confirmed at one distributor.
+ *
+ * @param zone the followers' zone
+ * @param revision the newest revision that the distributor serves
+ * @param confirmedByRevision how many followers have each revision, by revision
+ * @param followers how many there are, silent ones not counted
+ * @param behind those that lack the newest revision, longest first, {@link
+ *     FollowerRegistry#MOST_NAMED} at most
+ * @param silent those that have not been heard for over the bound, longest first, as many at most
+ */
+public record FollowerReport(
+        String zone,
+        long revision,
+        SortedMap<Long, Integer> confirmedByRevision,
+        int followers,
+        List<Behind> behind,
+        List<Silent> silent) {
+    /**
+     * A follower that lacks the newest revision.
+     *
+     * @param revision the one that it has confirmed
+     * @param sinceMs for how many milliseconds something newer has been there for it
+     */
+    public record Behind(String follower, long revision, long sinceMs) {}
+
+    /**
+     * A follower that is not counted any more.
+     *
+     * @param revision the one that it confirmed last
+     * @param silentMs for how many milliseconds it has not been heard
+     */
+    public record Silent(String follower, long revision, long silentMs) {}
+}
