--- a/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerRegistry.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerRegistry.java
@@ -164,29 +164,43 @@
         return nowMs - follower.lastHeardMs > silentAfterMs;
     }
 
-    /** How things stand, by zone in alphabetical order. */
+    /** How things stand with the newest revision, by zone in alphabetical order. */
     public List<FollowerReport> reports(long nowMs) {
+        return reports(newest, nowMs);
+    }
+
+    /** How things stand with a revision, by zone in alphabetical order. */
+    public List<FollowerReport> reports(long revision, long nowMs) {
         List<FollowerReport> reports = new ArrayList<>();
-        zones.forEach((name, zone) -> reports.add(report(name, zone, nowMs)));
+        zones.forEach((name, zone) -> reports.add(report(name, zone, revision, nowMs)));
         return reports;
     }
 
-    private FollowerReport report(String name, Zone zone, long nowMs) {
-        SortedMap<Long, Integer> counts = new TreeMap<>();
-        zone.byRevision.forEach((revision, having) -> counts.put(revision, having.size()));
+    private static List<FollowerReport.Silent> silent(Zone zone, long nowMs) {
         List<FollowerReport.Silent> silent = new ArrayList<>();
         for (Follower one : zone.silent.values()) {
             silent.add(new FollowerReport.Silent(one.name, one.confirmed, nowMs - one.lastHeardMs));
         }
-        List<FollowerReport.Behind> behind = behind(zone, nowMs);
-        return new FollowerReport(name, newest, counts, zone.followers, behind, silent);
+        return silent;
+    }
+
+    private FollowerReport report(String name, Zone zone, long revision, long nowMs) {
+        SortedMap<Long, Integer> counts = new TreeMap<>();
+        zone.byRevision.forEach((having, those) -> counts.put(having, those.size()));
+        return new FollowerReport(
+                name,
+                revision,
+                counts,
+                zone.followers,
+                behind(zone, revision, nowMs),
+                silent(zone, nowMs));
     }
 
     /** Whoever has the oldest revision has been behind for longest. */
-    private List<FollowerReport.Behind> behind(Zone zone, long nowMs) {
+    private List<FollowerReport.Behind> behind(Zone zone, long revision, long nowMs) {
         List<FollowerReport.Behind> behind = new ArrayList<>();
         for (Map.Entry<Long, Set<Follower>> lagging :
-                zone.byRevision.headMap(newest, false).entrySet()) {
+                zone.byRevision.headMap(revision, false).entrySet()) {
             long newerSinceMs = revisionTimes.newerKnownSinceMs(lagging.getKey(), nowMs);
             for (Follower follower : lagging.getValue()) {
                 if (behind.size() == MOST_NAMED) {
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerReport.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerReport.java
@@ -7,11 +7,11 @@
  * What the followers of one zone have confirmed at one distributor.
  *
  * @param zone the followers' zone
- * @param revision the newest revision that the distributor serves
+ * @param revision the one that followers are measured by
  * @param confirmedByRevision how many followers have each revision, by revision
  * @param followers how many there are, silent ones not counted
- * @param behind those that lack the newest revision, longest first, {@link
- *     FollowerRegistry#MOST_NAMED} at most
+ * @param behind those that lack that revision, longest first, {@link FollowerRegistry#MOST_NAMED}
+ *     at most
  * @param silent those that have not been heard for over the bound, longest first, as many at most
  */
 public record FollowerReport(
@@ -21,8 +21,15 @@
         int followers,
         List<Behind> behind,
         List<Silent> silent) {
+    /** How many followers have the revision, or a newer one. */
+    public int confirmed() {
+        return confirmedByRevision.tailMap(revision).values().stream()
+                .mapToInt(Integer::intValue)
+                .sum();
+    }
+
     /**
-     * A follower that lacks the newest revision.
+     * A follower that lacks the revision asked for.
      *
      * @param revision the one that it has confirmed
      * @param sinceMs for how many milliseconds something newer has been there for it
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/ReadRequest.java
@@ -0,0 +1,113 @@
+package saltstage.coordinator.distribution;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.wire.MalformedException;
+
+/** A request of the read API; {@code docs/design/configuration.md} describes the parameters. */
+sealed interface ReadRequest {
+    /** Paths of the read API begin like this. */
+    String PREFIX = "/v1/configuration/";
+
+    /** What comes after a revision. */
+    record Changes(long after, long digest, String follower, String zone, long waitMs, int limit)
+            implements ReadRequest {}
+
+    /**
+     * A page of a snapshot.
+     *
+     * @param from its first key; null: the first of all
+     * @param follower who pages; empty where the request does not say
+     */
+    record Snapshot(long revision, EntryKey from, int limit, String follower)
+            implements ReadRequest {}
+
+    /** How far followers are with a revision; 0: with the newest. */
+    record Status(long revision) implements ReadRequest {}
+
+    /** Reads the path and query of a GET; null where the path is not of the read API. */
+    static ReadRequest parse(String uri) throws MalformedException {
+        try {
+            QueryStringDecoder decoder = new QueryStringDecoder(uri);
+            Parameters parameters = new Parameters(decoder.parameters());
+            return switch (decoder.path()) {
+                case PREFIX + "changes" -> changes(parameters);
+                case PREFIX + "snapshot" -> snapshot(parameters);
+                case PREFIX + "status" -> new Status(parameters.revision("revision"));
+                default -> null;
+            };
+        } catch (IllegalArgumentException malformed) { // escapes, or a key
+            throw new MalformedException("request: " + malformed.getMessage());
+        }
+    }
+
+    private static Changes changes(Parameters parameters) throws MalformedException {
+        return new Changes(
+                parameters.revision("after"),
+                ConfigurationJson.digest(parameters.text("digest", ""), "'digest'"),
+                parameters.name("follower"),
+                parameters.name("zone"),
+                parameters.whole("waitMs", 0, DistributorHandler.MOST_WAIT_MS),
+                (int)
+                        parameters.whole(
+                                "limit",
+                                ConfigurationLimits.CHANGES_PER_ANSWER,
+                                ConfigurationLimits.CHANGES_PER_ANSWER));
+    }
+
+    private static Snapshot snapshot(Parameters parameters) throws MalformedException {
+        String from = parameters.text("from", "");
+        int most = ConfigurationLimits.ENTRIES_PER_PAGE;
+        return new Snapshot(
+                parameters.revision("revision"),
+                from.isEmpty() ? null : EntryKey.parse(from),
+                (int) parameters.whole("limit", most, most),
+                parameters.text("follower", ""));
+    }
+
+    /** The parameters of a query, each checked as it is read. */
+    record Parameters(Map<String, List<String>> given) {
+        private static final Pattern WHOLE = Pattern.compile("\\d{1,16}");
+        private static final Pattern NAME = Pattern.compile("[!-~]{1,100}");
+
+        String text(String name, String absent) {
+            List<String> values = given.getOrDefault(name, List.of());
+            return values.isEmpty() ? absent : values.get(0);
+        }
+
+        String name(String name) throws MalformedException {
+            String text = text(name, "");
+            if (!NAME.matcher(text).matches()) {
+                throw new MalformedException(
+                        "'" + name + "' takes 1 to 100 visible ASCII characters");
+            }
+            return text;
+        }
+
+        long revision(String name) throws MalformedException {
+            long revision = number(name, 0);
+            if (revision > ConfigurationLimits.LARGEST_NUMBER) {
+                throw new MalformedException("'" + name + "' is too large");
+            }
+            return revision;
+        }
+
+        /** A whole number; a larger one than the bound counts as the bound. */
+        long whole(String name, long absent, long most) throws MalformedException {
+            return Math.min(most, number(name, absent));
+        }
+
+        private long number(String name, long absent) throws MalformedException {
+            String text = text(name, Long.toString(absent));
+            if (!WHOLE.matcher(text).matches()) {
+                throw new MalformedException("'" + name + "' takes a whole number");
+            }
+            return Long.parseLong(text);
+        }
+    }
+}
