Distributor: listener for held requests, settings block and reports to the leader

Hundreds of relays hold a request each at their distributor; one that reads slowly must not hold back the others or grow the process.

The block 'distributor' of the settings file is checked; reports go to the leader by zone, every second what has changed and every 10 s the rest.

--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/ConfirmationReporter.java
@@ -0,0 +1,99 @@
+package saltstage.coordinator.distribution;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.configuration.FollowerReport;
+import saltstage.coordinator.group.Codec;
+import saltstage.log.Log;
+
+/**
+ * Tells the leader what the followers of this distributor have confirmed: every second what has
+ * changed, all of it every ten. What the leader did not take is told again, so that a new leader
+ * knows all after a round.
+ */
+final class ConfirmationReporter implements Runnable {
+    private static final Duration ROUND = Duration.ofSeconds(1);
+    private static final Duration CALL = Duration.ofSeconds(3);
+    private static final String PATH = ReadRequest.PREFIX + "reports";
+
+    private final String distributor;
+    private final String zone;
+    private final DistributorHandler handler;
+    private final GroupClient group;
+    private final LongSupplier nowMs;
+    private final ReportSchedule schedule = new ReportSchedule();
+    private boolean failing;
+
+    ConfirmationReporter(
+            String distributor,
+            String zone,
+            DistributorHandler handler,
+            GroupClient group,
+            LongSupplier nowMs) {
+        this.distributor = distributor;
+        this.zone = zone;
+        this.handler = handler;
+        this.group = group;
+        this.nowMs = nowMs;
+    }
+
+    /** Goes on until its thread is interrupted. */
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                round();
+                Thread.sleep(ROUND.toMillis());
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void round() throws InterruptedException {
+        for (ZoneConfirmations due : schedule.due(zones(), nowMs.getAsLong())) {
+            try {
+                group.post(PATH, Codec.json().valueToTree(report(due)), CALL);
+                schedule.reported(due, nowMs.getAsLong());
+                failing = false;
+            } catch (IOException | IllegalArgumentException failed) {
+                schedule.reset();
+                tellOnce(failed);
+                return;
+            }
+        }
+    }
+
+    private void tellOnce(Exception failed) {
+        if (!failing) {
+            failing = true;
+            Log.warn("distributor.not-reported", "why", failed.getMessage());
+        }
+    }
+
+    /** All zones that followers are of, and this distributor's own even if it has none. */
+    private List<ZoneConfirmations> zones() {
+        List<ZoneConfirmations> zones = new ArrayList<>(handler.confirmations());
+        if (zones.stream().noneMatch(one -> one.zone().equals(zone))) {
+            zones.add(
+                    new ZoneConfirmations(
+                            zone, handler.revision(), new TreeMap<>(), 0, List.of(), List.of()));
+        }
+        return zones;
+    }
+
+    private FollowerReport report(ZoneConfirmations of) {
+        return new FollowerReport(
+                distributor,
+                of.zone(),
+                of.revision(),
+                of.confirmedByRevision(),
+                of.followers(),
+                of.behind());
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorHandler.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorHandler.java
@@ -299,7 +299,7 @@
     // ---- for the leader
 
     /** What followers have confirmed, by zone. */
-    public synchronized List<FollowerReport> reports() {
+    public synchronized List<ZoneConfirmations> confirmations() {
         return registry.reports(nowMs.getAsLong());
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorStatus.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorStatus.java
@@ -1,6 +1,7 @@
 package saltstage.coordinator.distribution;
 
 import java.util.List;
+import saltstage.coordinator.configuration.FollowerReport;
 
 /**
  * How a distributor stands, as its {@code status} answers.
@@ -31,8 +32,8 @@
             int followers,
             int confirmed,
             List<FollowerReport.Behind> behind,
-            List<FollowerReport.Silent> silent) {
-        static Zone of(FollowerReport report) {
+            List<ZoneConfirmations.Silent> silent) {
+        static Zone of(ZoneConfirmations report) {
             return new Zone(
                     report.zone(),
                     report.followers(),
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerConnection.java
@@ -0,0 +1,139 @@
+package saltstage.coordinator.distribution;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A follower's connection: one request at a time. An answer goes out in pieces, the next once the
+ * one before is in the socket's buffer, so that a slow reader costs one piece; one that takes
+ * nothing for too long is cut off and comes back with what it has. Used by its event loop only.
+ */
+final class FollowerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** So many bytes of an answer wait for the reader at once. */
+    static final int PIECE_BYTES = 64 << 10;
+
+    /** A reader that takes no piece for so long is cut off. */
+    static final Duration STUCK = Duration.ofSeconds(5);
+
+    /** A connection without a request for so long is closed. */
+    private static final Duration IDLE = Duration.ofSeconds(60);
+
+    private final DistributorHandler handler;
+    private ChannelHandlerContext context;
+    private CompletableFuture<HttpAnswer> awaited;
+    private boolean writing;
+    private long lastProgressNanos = System.nanoTime();
+
+    FollowerConnection(DistributorHandler handler) {
+        this.handler = handler;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext from, FullHttpRequest request) {
+        if (awaited != null || writing) { // it did not wait for its answer
+            from.close();
+            return;
+        }
+        lastProgressNanos = System.nanoTime();
+        if (!request.decoderResult().isSuccess() || request.method() != HttpMethod.GET) {
+            write(new HttpAnswer(HttpResponseStatus.METHOD_NOT_ALLOWED.code(), new byte[0]), false);
+            return;
+        }
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        awaited = handler.handle(request.uri(), from.channel().remoteAddress().toString());
+        awaited.whenComplete(
+                (answer, cancelled) -> {
+                    if (answer != null) {
+                        from.executor().execute(() -> write(answer, keepAlive));
+                    }
+                });
+    }
+
+    private void write(HttpAnswer answer, boolean keepAlive) {
+        awaited = null;
+        if (!context.channel().isActive()) {
+            return;
+        }
+        writing = true;
+        lastProgressNanos = System.nanoTime();
+        HttpResponse head =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
+        head.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+        HttpUtil.setKeepAlive(head, keepAlive);
+        context.write(head);
+        writePiece(answer.body(), 0, keepAlive);
+    }
+
+    private void writePiece(byte[] body, int from, boolean keepAlive) {
+        int length = Math.min(PIECE_BYTES, body.length - from);
+        int next = from + length;
+        ByteBuf piece = Unpooled.wrappedBuffer(body, from, length);
+        if (next < body.length) {
+            context.writeAndFlush(new DefaultHttpContent(piece))
+                    .addListener(done -> afterPiece(done.isSuccess(), body, next, keepAlive));
+        } else {
+            context.writeAndFlush(new DefaultLastHttpContent(piece))
+                    .addListener(done -> afterLast(done.isSuccess(), keepAlive));
+        }
+    }
+
+    private void afterPiece(boolean success, byte[] body, int next, boolean keepAlive) {
+        if (success) {
+            lastProgressNanos = System.nanoTime();
+            writePiece(body, next, keepAlive);
+        }
+    }
+
+    private void afterLast(boolean success, boolean keepAlive) {
+        writing = false;
+        lastProgressNanos = System.nanoTime();
+        if (!success || !keepAlive) {
+            context.close();
+        }
+    }
+
+    /** Closes it where its reader takes nothing, or where it has asked for nothing for long. */
+    void closeIfStuck(long nowNanos) {
+        long quietNanos = nowNanos - lastProgressNanos;
+        boolean stuck = writing && quietNanos > STUCK.toNanos();
+        boolean idle = awaited == null && !writing && quietNanos > IDLE.toNanos();
+        if (stuck || idle) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext gone) {
+        if (awaited != null) {
+            awaited.cancel(false); // nobody waits for it any more
+            awaited = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext from, Throwable reset) {
+        from.close();
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerRegistry.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import saltstage.coordinator.configuration.FollowerReport;
 
 /**
  * What each follower of this distributor has confirmed, and when it was last heard. A request costs
@@ -15,9 +16,6 @@
  * monotonic clock. Not thread safe.
  */
 public final class FollowerRegistry {
-    /** So many followers are named as behind, and so many as silent, in a report. */
-    public static final int MOST_NAMED = 100;
-
     /** So many followers are kept; requests of others are served, but not counted. */
     static final int MOST_FOLLOWERS = 20_000;
 
@@ -64,7 +62,7 @@
 
         void addSilent(Follower follower) {
             silent.put(follower.name, follower);
-            if (silent.size() > MOST_NAMED) {
+            if (silent.size() > FollowerReport.NAMED) {
                 silent.remove(silent.keySet().iterator().next());
             }
         }
@@ -165,29 +163,30 @@
     }
 
     /** How things stand with the newest revision, by zone in alphabetical order. */
-    public List<FollowerReport> reports(long nowMs) {
+    public List<ZoneConfirmations> reports(long nowMs) {
         return reports(newest, nowMs);
     }
 
     /** How things stand with a revision, by zone in alphabetical order. */
-    public List<FollowerReport> reports(long revision, long nowMs) {
-        List<FollowerReport> reports = new ArrayList<>();
+    public List<ZoneConfirmations> reports(long revision, long nowMs) {
+        List<ZoneConfirmations> reports = new ArrayList<>();
         zones.forEach((name, zone) -> reports.add(report(name, zone, revision, nowMs)));
         return reports;
     }
 
-    private static List<FollowerReport.Silent> silent(Zone zone, long nowMs) {
-        List<FollowerReport.Silent> silent = new ArrayList<>();
+    private static List<ZoneConfirmations.Silent> silent(Zone zone, long nowMs) {
+        List<ZoneConfirmations.Silent> silent = new ArrayList<>();
         for (Follower one : zone.silent.values()) {
-            silent.add(new FollowerReport.Silent(one.name, one.confirmed, nowMs - one.lastHeardMs));
+            silent.add(
+                    new ZoneConfirmations.Silent(one.name, one.confirmed, nowMs - one.lastHeardMs));
         }
         return silent;
     }
 
-    private FollowerReport report(String name, Zone zone, long revision, long nowMs) {
+    private ZoneConfirmations report(String name, Zone zone, long revision, long nowMs) {
         SortedMap<Long, Integer> counts = new TreeMap<>();
         zone.byRevision.forEach((having, those) -> counts.put(having, those.size()));
-        return new FollowerReport(
+        return new ZoneConfirmations(
                 name,
                 revision,
                 counts,
@@ -203,7 +202,7 @@
                 zone.byRevision.headMap(revision, false).entrySet()) {
             long newerSinceMs = revisionTimes.newerKnownSinceMs(lagging.getKey(), nowMs);
             for (Follower follower : lagging.getValue()) {
-                if (behind.size() == MOST_NAMED) {
+                if (behind.size() == FollowerReport.NAMED) {
                     return behind;
                 }
                 long sinceMs = nowMs - Math.max(newerSinceMs, follower.firstHeardMs);
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/FollowerReport.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/ZoneConfirmations.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.SortedMap;
+import saltstage.coordinator.configuration.FollowerReport;
 
 /**
  * What the followers of one zone have confirmed at one distributor.
@@ -14,12 +15,12 @@
  *     at most
  * @param silent those that have not been heard for over the bound, longest first, as many at most
  */
-public record FollowerReport(
+public record ZoneConfirmations(
         String zone,
         long revision,
         SortedMap<Long, Integer> confirmedByRevision,
         int followers,
-        List<Behind> behind,
+        List<FollowerReport.Behind> behind,
         List<Silent> silent) {
     /** How many followers have the revision, or a newer one. */
     public int confirmed() {
@@ -28,14 +29,6 @@
                 .sum();
     }
 
-    /**
-     * A follower that lacks the revision asked for.
-     *
-     * @param revision the one that it has confirmed
-     * @param sinceMs for how many milliseconds something newer has been there for it
-     */
-    public record Behind(String follower, long revision, long sinceMs) {}
-
     /**
      * A follower that is not counted any more.
      *
--- a/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
@@ -28,6 +28,7 @@
     private final Path dir;
     private final Map<String, Place> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> reach = new LinkedHashMap<>();
+    private final Map<String, DistributorSettings> distributors = new LinkedHashMap<>();
     private final double speed;
     private final int snapshotEvery;
     private final int mostPending;
@@ -101,6 +102,7 @@
             throw new MalformedException(name + ": no block 'coordinator'");
         }
         CoordinatorSettings read = new CoordinatorSettings(block);
+        read.distributors.putAll(DistributorSettings.all(top));
         top.finish();
         return read;
     }
@@ -110,6 +112,16 @@
         return members;
     }
 
+    /** A distributor that the file names. */
+    public DistributorSettings distributor(String name) throws MalformedException {
+        DistributorSettings distributor = distributors.get(name);
+        if (distributor == null) {
+            throw new MalformedException(
+                    "no distributor '" + name + "' in the settings; there are " + distributors.keySet());
+        }
+        return distributor;
+    }
+
     /** The group's name. */
     public String group() {
         return group;
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/DistributorSettings.java
@@ -0,0 +1,72 @@
+package saltstage.coordinator.settings;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltstage.config.HclBlock;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.wire.HostList;
+import saltstage.wire.MalformedException;
+
+/**
+ * A distributor, from a block {@code distributor} of a group's settings file.
+ *
+ * @param clients where it takes calls
+ * @param sources where it asks: replicas' client addresses, the preferred one first
+ * @param dir the folder that it keeps its configuration in
+ */
+public record DistributorSettings(
+        String name,
+        String zone,
+        InetSocketAddress clients,
+        List<InetSocketAddress> sources,
+        Path dir) {
+    private static final String NAME = "[!-~]{1,100}";
+
+    /** Reads all such blocks, by name. */
+    static Map<String, DistributorSettings> all(HclBlock top) throws MalformedException {
+        Map<String, DistributorSettings> distributors = new LinkedHashMap<>();
+        for (HclBlock block : top.all("distributor")) {
+            if (block.labels().size() != 1 || !block.labels().get(0).matches(NAME)) {
+                throw block.complaint("takes one label, the distributor's name");
+            }
+            DistributorSettings read = of(block);
+            block.finish();
+            if (distributors.put(read.name(), read) != null) {
+                throw block.complaint("'" + read.name() + "' is given twice");
+            }
+        }
+        return distributors;
+    }
+
+    private static DistributorSettings of(HclBlock block) throws MalformedException {
+        String name = block.labels().get(0);
+        String zone = block.need("zone");
+        if (!zone.matches(NAME) || zone.length() > ConfigurationLimits.ZONE_LENGTH) {
+            throw block.wrong("zone", "a name without blanks, such as \"a1\"");
+        }
+        List<InetSocketAddress> sources = new ArrayList<>();
+        for (String source : block.texts("sources")) {
+            sources.add(address(block, "sources", source));
+        }
+        if (sources.isEmpty()) {
+            throw block.complaint("'sources' is missing: the replicas' client addresses");
+        }
+        InetSocketAddress clients = address(block, "clients", block.need("clients"));
+        Path dir = Path.of(block.text("dir", "distributor-data")).resolve(name);
+        return new DistributorSettings(name, zone, clients, sources, dir);
+    }
+
+    private static InetSocketAddress address(HclBlock block, String attribute, String text)
+            throws MalformedException {
+        try {
+            return HostList.address(text);
+        } catch (MalformedException malformed) {
+            throw block.wrong(
+                    attribute, "addresses in figures with a port, such as \"127.0.0.1:7201\"");
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/distribution/DistributorListenerTest.java
@@ -0,0 +1,162 @@
+package saltstage.coordinator.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.group.Codec;
+
+/** Many followers on sockets of their own. */
+@Timeout(value = 1, unit = TimeUnit.MINUTES)
+class DistributorListenerTest {
+    private static final int FOLLOWERS = 800;
+    private static final int READ_TIMEOUT_MS = 20_000;
+
+    private final ConfigurationView writer = new ConfigurationView();
+    private final DistributorHandler handler =
+            new DistributorHandler("d-a1", writer, () -> System.nanoTime() / 1_000_000);
+    private final List<Socket> sockets = new ArrayList<>();
+    private DistributorListener listener;
+
+    @BeforeEach
+    void listen() throws IOException {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        listener = new DistributorListener(any, handler);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        listener.close();
+    }
+
+    private Socket connect() throws IOException {
+        return connect(new Socket());
+    }
+
+    private Socket connect(Socket socket) throws IOException {
+        socket.connect(listener.address());
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        sockets.add(socket);
+        return socket;
+    }
+
+    private static void get(Socket socket, String path) throws IOException {
+        String request = "GET /v1/configuration/" + path + " HTTP/1.1\r\nHost: d\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void poll(Socket socket, String follower) throws IOException {
+        String digest = ConfigurationJson.text(writer.digest());
+        get(
+                socket,
+                "changes?after="
+                        + writer.revision()
+                        + "&digest="
+                        + digest
+                        + "&follower="
+                        + follower
+                        + "&zone=a1&waitMs=20000");
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("closed after '" + line + "'");
+            }
+            line.append((char) next);
+        }
+        return line.toString().trim();
+    }
+
+    private static String body(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        assertEquals("HTTP/1.1 200 OK", readLine(in));
+        int length = 0;
+        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+            if (line.startsWith("content-length: ")) {
+                length = Integer.parseInt(line.substring("content-length: ".length()));
+            }
+        }
+        return new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    private void accept(int mutations, int length) {
+        List<Mutation> some = new ArrayList<>();
+        for (int i = 0; i < mutations; i++) {
+            EntryKey key = EntryKey.parse("setting/name-" + i);
+            some.add(new Mutation(key, new EntryValue.Setting("x".repeat(length))));
+        }
+        handler.changesInForce(List.of(writer.accept(some)));
+    }
+
+    private int waiting() throws IOException {
+        byte[] status = handler.handle("/v1/configuration/status", "test").join().body();
+        return Codec.json().readTree(status).path("waiting").asInt();
+    }
+
+    private void awaitWaiting(int expected) throws IOException, InterruptedException {
+        while (waiting() != expected) {
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void changeReachesHundredsThatWaitOnOneThread() throws Exception {
+        for (int i = 0; i < FOLLOWERS; i++) {
+            poll(connect(), "relay-" + i);
+        }
+        awaitWaiting(FOLLOWERS);
+        accept(1, 10);
+        for (Socket socket : sockets) {
+            assertEquals(1, ConfigurationJson.changes(body(socket)).revision());
+        }
+        assertEquals(0, waiting());
+    }
+
+    @Test
+    void readerThatTakesNothingIsCutOffAndHoldsNobodyBack() throws Exception {
+        Socket stuck = new Socket();
+        stuck.setReceiveBufferSize(4 << 10);
+        connect(stuck);
+        Socket reader = connect();
+        poll(stuck, "stuck");
+        poll(reader, "reader");
+        awaitWaiting(2);
+        accept(500, 2_000); // 1 MB: far over what a socket takes without its reader
+        assertEquals(
+                500, ConfigurationJson.changes(body(reader)).changes().get(0).mutations().size());
+        Thread.sleep(FollowerConnection.STUCK.plusSeconds(1).toMillis());
+        int taken = stuck.getInputStream().readAllBytes().length; // what the socket still held
+        assertTrue(taken < 900_000, taken + " bytes");
+    }
+
+    @Test
+    void followerThatIsGoneDoesNotWait() throws Exception {
+        Socket socket = connect();
+        poll(socket, "relay-1");
+        awaitWaiting(1);
+        socket.close();
+        awaitWaiting(0);
+    }
+}
--- a/coordinator/src/test/java/saltstage/coordinator/distribution/FollowerRegistryTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/distribution/FollowerRegistryTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import saltstage.coordinator.configuration.FollowerReport;
 
 /** What a registry tells of its followers. */
 class FollowerRegistryTest {
@@ -15,7 +16,7 @@
 
     private final FollowerRegistry registry = new FollowerRegistry(SILENT_AFTER_MS);
 
-    private FollowerReport zone(String name, long nowMs) {
+    private ZoneConfirmations zone(String name, long nowMs) {
         return registry.reports(nowMs).stream()
                 .filter(report -> report.zone().equals(name))
                 .findFirst()
@@ -31,7 +32,7 @@
         registry.advance(9, 2_000);
         registry.confirm("relay-1", "a1", 9, 2_500);
 
-        FollowerReport report = zone("a1", 3_000);
+        ZoneConfirmations report = zone("a1", 3_000);
         assertEquals(Map.of(7L, 1, 9L, 1), report.confirmedByRevision());
         assertEquals(2, report.followers());
         assertEquals(
@@ -66,11 +67,11 @@
         assertEquals(2, zone("a1", SILENT_AFTER_MS).followers());
 
         registry.sweep(SILENT_AFTER_MS + 1);
-        FollowerReport report = zone("a1", SILENT_AFTER_MS + 1);
+        ZoneConfirmations report = zone("a1", SILENT_AFTER_MS + 1);
         assertEquals(1, report.followers());
         assertEquals(Map.of(5L, 1), report.confirmedByRevision());
         assertEquals(
-                List.of(new FollowerReport.Silent("relay-1", 5, SILENT_AFTER_MS + 1)),
+                List.of(new ZoneConfirmations.Silent("relay-1", 5, SILENT_AFTER_MS + 1)),
                 report.silent());
 
         registry.confirm("relay-1", "a1", 5, SILENT_AFTER_MS + 2);
@@ -90,7 +91,7 @@
         }
         registry.advance(2, 500);
         List<FollowerReport.Behind> behind = zone("a1", 1_000).behind();
-        assertEquals(FollowerRegistry.MOST_NAMED, behind.size());
+        assertEquals(FollowerReport.NAMED, behind.size());
         assertEquals(new FollowerReport.Behind("relay-299", 0, 1_000), behind.get(0));
         assertEquals(500, behind.get(1).sinceMs());
     }
--- a/deploy/coordinator.hcl
+++ b/deploy/coordinator.hcl
@@ -25,3 +25,19 @@
   most_pending = 4096        # commands that may wait for a majority; beyond that callers are turned away
   # speaks = 1               # held back while an upgrade may have to be undone
 }
+
+# Distributors have no vote: each follows the group and serves configuration to its zone's relays. Run as many as
+# there are zones, or none: relays may ask replicas themselves while they are few.
+distributor "d-a1" {
+  zone = "a1"
+  clients = "127.0.0.1:7301"   # where followers ask it (HTTP)
+  # Replicas' client addresses, the nearest first.
+  sources = ["127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"]
+  dir = "distributor-data"     # each keeps what is in force in a folder of its name below
+}
+distributor "d-a2" {
+  zone = "a2"
+  clients = "127.0.0.1:7302"
+  sources = ["127.0.0.1:7202", "127.0.0.1:7203", "127.0.0.1:7201"]
+  dir = "distributor-data"
+}
