--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/follower/BoundedBody.java
@@ -0,0 +1,58 @@
+package saltstage.configuration.follower;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.http.HttpResponse.BodySubscriber;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow.Subscription;
+
+/** The body of an answer as bytes; one that is longer than the bound fails before it is held. */
+final class BoundedBody implements BodySubscriber<byte[]> {
+    private final int mostBytes;
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private final CompletableFuture<byte[]> body = new CompletableFuture<>();
+    private Subscription subscription;
+
+    BoundedBody(int mostBytes) {
+        this.mostBytes = mostBytes;
+    }
+
+    @Override
+    public CompletionStage<byte[]> getBody() {
+        return body;
+    }
+
+    @Override
+    public void onSubscribe(Subscription given) {
+        subscription = given;
+        subscription.request(1);
+    }
+
+    @Override
+    public void onNext(List<ByteBuffer> buffers) {
+        for (ByteBuffer buffer : buffers) {
+            if (buffer.remaining() > mostBytes - bytes.size()) {
+                subscription.cancel();
+                onError(new IOException("an answer of over " + mostBytes + " bytes"));
+                return;
+            }
+            byte[] part = new byte[buffer.remaining()];
+            buffer.get(part);
+            bytes.writeBytes(part);
+        }
+        subscription.request(1);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+        body.completeExceptionally(failure);
+    }
+
+    @Override
+    public void onComplete() {
+        body.complete(bytes.toByteArray());
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/follower/ConfigurationClient.java
@@ -0,0 +1,320 @@
+package saltstage.configuration.follower;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import saltstage.configuration.Change;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.ConfigurationView;
+
+/**
+ * A follower that asks configuration sources over HTTP: does what {@link FollowerState} wants done,
+ * and tells it what came of that. It has no thread of its own; events are taken one at a time, by
+ * whichever thread brings one. Thread safe.
+ */
+public final class ConfigurationClient implements AutoCloseable {
+    /** The longest body of an answer to a request for changes, in bytes. */
+    static final int MOST_CHANGES_BYTES = 8 * ConfigurationLimits.BYTES_PER_ANSWER;
+
+    /** The longest body of a page of a snapshot, in bytes. */
+    static final int MOST_PAGE_BYTES = 16 << 20;
+
+    /** How much longer than the wait it was asked for a source may take to answer. */
+    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
+
+    /** How long a source may take to answer with a page of a snapshot. */
+    static final Duration PAGE_TIMEOUT = Duration.ofSeconds(10);
+
+    private final FollowerOptions options;
+    private final FollowerResources resources;
+    private final ConfigurationPersistence persistence;
+    private final FollowerListener listener;
+    private final SourceRequests requests;
+    private final FollowerState state;
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private boolean draining;
+    private CompletableFuture<?> pendingRequest;
+    private Future<?> retryTimer;
+    private Future<?> preferredTimer;
+    private volatile long revision;
+    private volatile URI source;
+    private volatile Instant confirmedAt;
+
+    /**
+     * A follower, not yet begun.
+     *
+     * @param held what is durable at the persistence and in force; owned by this from now on
+     */
+    public ConfigurationClient(
+            FollowerOptions options,
+            FollowerResources resources,
+            ConfigurationPersistence persistence,
+            ConfigurationView held,
+            FollowerListener listener) {
+        this.options = options;
+        this.resources = resources;
+        this.persistence = persistence;
+        this.listener = listener;
+        requests = new SourceRequests(options);
+        revision = held.revision();
+        source = options.sources().get(0);
+        state =
+                new FollowerState(
+                        options.sources().size(),
+                        ConfigurationLimits.ENTRIES,
+                        options.timings(),
+                        resources.random(),
+                        held);
+    }
+
+    /** Begins to ask; to be called once. */
+    public void start() {
+        enqueue(() -> perform(state.start()));
+    }
+
+    /** Ends; nothing is asked or told any more once the call that is under way has returned. */
+    @Override
+    public void close() {
+        post(new FollowerEvent.Stopped());
+    }
+
+    /** The revision that is durable and in force. */
+    public long revision() {
+        return revision;
+    }
+
+    /** The source that was asked last. */
+    public URI source() {
+        return source;
+    }
+
+    /** When a source last said that it has nothing newer; null: never since the start. */
+    public Instant confirmedAt() {
+        return confirmedAt;
+    }
+
+    // ---- one event at a time
+
+    private void post(FollowerEvent event) {
+        enqueue(() -> take(event));
+    }
+
+    private void enqueue(Runnable task) {
+        synchronized (tasks) {
+            tasks.add(task);
+            if (draining) {
+                return;
+            }
+            draining = true;
+        }
+        for (Runnable next = nextTask(); next != null; next = nextTask()) {
+            run(next);
+        }
+    }
+
+    /** A fault of the listener must not end the follower. */
+    private void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException fault) {
+            listener.fault(fault);
+        }
+    }
+
+    private Runnable nextTask() {
+        synchronized (tasks) {
+            Runnable next = tasks.poll();
+            draining = next != null;
+            return next;
+        }
+    }
+
+    private void take(FollowerEvent event) {
+        perform(state.on(event));
+        if (event instanceof FollowerEvent.Stopped) {
+            cancel(retryTimer);
+            cancel(preferredTimer);
+        }
+    }
+
+    private static void cancel(Future<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    // ---- effects
+
+    private void perform(List<FollowerEffect> effects) {
+        for (FollowerEffect effect : effects) {
+            run(() -> perform(effect));
+        }
+    }
+
+    private void perform(FollowerEffect effect) {
+        if (effect instanceof FollowerEffect.RequestChanges changes) {
+            request(changes);
+        } else if (effect instanceof FollowerEffect.RequestSnapshotPage page) {
+            request(page);
+        } else if (effect instanceof FollowerEffect.CancelRequest) {
+            pendingRequest.cancel(true);
+        } else if (effect instanceof FollowerEffect.WriteChanges write) {
+            write(write.write(), () -> persistence.write(write.changes()));
+        } else if (effect instanceof FollowerEffect.WriteSnapshot write) {
+            write(write.write(), () -> persistence.replace(write.view()));
+        } else if (effect instanceof FollowerEffect.ScheduleRetry retry) {
+            retryTimer = schedule(retry.delay(), new FollowerEvent.RetryDue(retry.timer()));
+        } else if (effect instanceof FollowerEffect.SchedulePreferredSource preferred) {
+            preferredTimer =
+                    schedule(
+                            preferred.delay(),
+                            new FollowerEvent.PreferredSourceDue(preferred.timer()));
+        } else {
+            tell(effect);
+        }
+    }
+
+    private void tell(FollowerEffect effect) {
+        if (effect instanceof FollowerEffect.ChangesInForce inForce) {
+            List<Change> changes = inForce.changes();
+            listener.changesInForce(changes);
+            revision = changes.get(changes.size() - 1).revision();
+        } else if (effect instanceof FollowerEffect.SnapshotInForce inForce) {
+            listener.snapshotInForce(inForce.view());
+            revision = inForce.view().revision();
+        } else if (effect instanceof FollowerEffect.Confirmed confirmed) {
+            confirmed(confirmed.revision());
+        } else if (effect instanceof FollowerEffect.SourceSettled settled) {
+            listener.sourceSettled(options.sources().get(settled.source()));
+        } else if (effect instanceof FollowerEffect.SourceLeft left) {
+            listener.sourceLeft(
+                    options.sources().get(left.source()),
+                    options.sources().get(left.next()),
+                    left.reason());
+        } else if (effect instanceof FollowerEffect.WritePostponed postponed) {
+            listener.writePostponed(postponed.reason());
+        }
+    }
+
+    private void confirmed(long confirmedRevision) {
+        Instant now = resources.clock().instant();
+        confirmedAt = now;
+        resources.writer().execute(() -> keepConfirmation(now));
+        listener.confirmed(confirmedRevision);
+    }
+
+    private void keepConfirmation(Instant at) {
+        try {
+            persistence.confirmed(at);
+        } catch (IOException | RuntimeException lost) { // only the age told after a restart
+            enqueue(() -> listener.writePostponed("confirmation: " + lost.getMessage()));
+        }
+    }
+
+    private Future<?> schedule(Duration delay, FollowerEvent event) {
+        return resources
+                .scheduler()
+                .schedule(() -> post(event), delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    // ---- requests
+
+    private void request(FollowerEffect.RequestChanges changes) {
+        source = options.sources().get(changes.source());
+        long begun = System.nanoTime();
+        send(
+                changes.request(),
+                requests.of(changes),
+                MOST_CHANGES_BYTES,
+                changes.poll().plus(ANSWER_TIMEOUT),
+                answer ->
+                        SourceAnswers.changes(
+                                changes.request(),
+                                answer,
+                                Duration.ofNanos(System.nanoTime() - begun)));
+    }
+
+    private void request(FollowerEffect.RequestSnapshotPage page) {
+        send(
+                page.request(),
+                requests.of(page),
+                MOST_PAGE_BYTES,
+                PAGE_TIMEOUT,
+                answer -> SourceAnswers.snapshotPage(page.request(), answer));
+    }
+
+    private void send(
+            long number,
+            HttpRequest request,
+            int mostBytes,
+            Duration timeout,
+            Function<HttpResponse<byte[]>, FollowerEvent> reader) {
+        CompletableFuture<HttpResponse<byte[]>> pending =
+                resources.http().sendAsync(request, head -> new BoundedBody(mostBytes));
+        pendingRequest = pending;
+        // The whole answer counts, not only its head as with HttpRequest's own time-out.
+        Future<?> deadline =
+                resources
+                        .scheduler()
+                        .schedule(
+                                () -> timeOut(number, pending, timeout),
+                                timeout.toMillis(),
+                                TimeUnit.MILLISECONDS);
+        pending.whenComplete(
+                (answer, failure) -> {
+                    deadline.cancel(false);
+                    post(failure == null ? reader.apply(answer) : failed(number, failure));
+                });
+    }
+
+    private void timeOut(long number, CompletableFuture<?> pending, Duration timeout) {
+        post(
+                new FollowerEvent.RequestFailed(
+                        number, "no answer within " + timeout.toMillis() + " ms"));
+        pending.cancel(true);
+    }
+
+    private static FollowerEvent failed(long number, Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        String reason =
+                cause instanceof CancellationException || cause.getMessage() == null
+                        ? cause.getClass().getSimpleName()
+                        : cause.getMessage();
+        return new FollowerEvent.RequestFailed(number, reason);
+    }
+
+    // ---- writes
+
+    /** Something that blocks until it is durable. */
+    private interface Write {
+        void run() throws IOException;
+    }
+
+    private void write(long number, Write write) {
+        resources.writer().execute(() -> post(outcome(number, write)));
+    }
+
+    private static FollowerEvent outcome(long number, Write write) {
+        try {
+            write.run();
+            return new FollowerEvent.WriteCompleted(number);
+        } catch (IOException | RuntimeException failed) {
+            return new FollowerEvent.WriteFailed(number, String.valueOf(failed.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/follower/FollowerTimings.java
@@ -0,0 +1,40 @@
+package saltstage.configuration.follower;
+
+import java.time.Duration;
+
+/**
+ * How long a follower waits for what.
+ *
+ * @param poll how long a source may hold a request while it has nothing new
+ * @param retryBase the mean of the first pause after a failure is half of this; it doubles
+ * @param retryMost the longest pause after a failure
+ * @param preferredPause the longest pause before the preferred source is tried again; the shortest
+ *     is half of it, and both double while that source goes on failing
+ * @param preferredMost the longest of all such pauses
+ */
+public record FollowerTimings(
+        Duration poll,
+        Duration retryBase,
+        Duration retryMost,
+        Duration preferredPause,
+        Duration preferredMost) {
+    /** Checks that each is positive; throws IllegalArgumentException otherwise. */
+    public FollowerTimings {
+        for (Duration each :
+                new Duration[] {poll, retryBase, retryMost, preferredPause, preferredMost}) {
+            if (each.isZero() || each.isNegative()) {
+                throw new IllegalArgumentException("a follower's time-outs must be positive");
+            }
+        }
+    }
+
+    /** Requests of 25 s, pauses of 0.2 to 20 s, the preferred source again after 15 to 30 s. */
+    public static FollowerTimings usual() {
+        return new FollowerTimings(
+                Duration.ofSeconds(25),
+                Duration.ofMillis(200),
+                Duration.ofSeconds(20),
+                Duration.ofSeconds(30),
+                Duration.ofMinutes(5));
+    }
+}
--- a/relay/src/test/java/saltstage/PackagesTest.java
+++ b/relay/src/test/java/saltstage/PackagesTest.java
@@ -26,6 +26,7 @@
         Map.entry("handover", Set.of("log")),
         Map.entry("config", Set.of("wire", "log")),
         Map.entry("memory", Set.of("wire")),
+        Map.entry("configuration", Set.of("wire", "store")),
         Map.entry("sim", Set.of("config", "wire")),
         Map.entry("keep", Set.of("store", "config", "log", "wire")),
         Map.entry("stage", Set.of("memory", "metrics", "wire", "config", "log")),
--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/follower/ScriptedHistory.java
@@ -0,0 +1,72 @@
+package saltstage.configuration.follower;
+
+import java.util.ArrayList;
+import java.util.List;
+import saltstage.configuration.Change;
+import saltstage.configuration.ChangesResponse;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.configuration.SnapshotPage;
+import saltstage.configuration.SnapshotPager;
+
+/** A history of accepted changes, and what a source answers that has it up to some revision. */
+final class ScriptedHistory {
+    private final List<Change> changes = new ArrayList<>();
+    private final List<ConfigurationView> views = new ArrayList<>();
+
+    /** Changes of one shard each; other authors write other values. */
+    ScriptedHistory(int revisions, String author) {
+        ConfigurationView view = new ConfigurationView();
+        views.add(copy(view));
+        for (int i = 1; i <= revisions; i++) {
+            changes.add(view.accept(List.of(shard("topic/" + i % 4, author + "-" + i))));
+            views.add(copy(view));
+        }
+    }
+
+    static Mutation shard(String name, String backend) {
+        return new Mutation(
+                new EntryKey(EntryKind.SHARD, name),
+                backend == null ? null : new EntryValue.Shard(backend));
+    }
+
+    static ConfigurationView copy(ConfigurationView view) {
+        return new ConfigurationView(view.revision(), view.entries().values());
+    }
+
+    int newest() {
+        return changes.size();
+    }
+
+    Change change(long revision) {
+        return changes.get((int) revision - 1);
+    }
+
+    ConfigurationView at(long revision) {
+        return views.get((int) Math.min(revision, newest()));
+    }
+
+    /**
+     * The answer with the changes from one revision to another; none where they are the wrong way.
+     */
+    ChangesResponse changes(long from, long to) {
+        List<Change> part = new ArrayList<>();
+        for (long revision = from; revision <= to; revision++) {
+            part.add(change(revision));
+        }
+        return new ChangesResponse(to, at(to).digest(), part);
+    }
+
+    /** The answer of a source at this revision that has nothing to tell. */
+    ChangesResponse nothingNew(long revision) {
+        return new ChangesResponse(revision, at(revision).digest(), List.of());
+    }
+
+    /** A page of so many entries. */
+    SnapshotPage page(long revision, EntryKey from, int limit) {
+        return new SnapshotPager().page(at(revision), 0, from, limit);
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/follower/ScriptedSource.java
@@ -0,0 +1,141 @@
+package saltstage.configuration.follower;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** An HTTP source on a real socket that answers each request as its script says. */
+public final class ScriptedSource implements AutoCloseable {
+    /** What a source does with a request. */
+    public interface Script {
+        /** Writes the answer, or does not; what it throws resets the connection. */
+        void answer(Map<String, String> query, OutputStream out) throws Exception;
+    }
+
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private final AtomicLong bytes = new AtomicLong();
+    private final AtomicLong requests = new AtomicLong();
+    private volatile Script script;
+
+    public ScriptedSource(Script script) throws IOException {
+        this.script = script;
+        start(this::accept);
+    }
+
+    /** A whole answer with this body. */
+    public static void write(OutputStream out, int status, String body) throws IOException {
+        byte[] text = body.getBytes(StandardCharsets.UTF_8);
+        String head = "HTTP/1.1 " + status + " -\r\nContent-Length: " + text.length + "\r\n\r\n";
+        out.write((head + body).getBytes(StandardCharsets.UTF_8));
+    }
+
+    public void script(Script next) {
+        script = next;
+    }
+
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    URI uri() {
+        return FollowerOptions.source(address());
+    }
+
+    /** All bytes of requests and answers, both ways. */
+    long bytes() {
+        return bytes.get();
+    }
+
+    long requests() {
+        return requests.get();
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "source");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                open.add(socket);
+                start(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            open.forEach(ScriptedSource::reset);
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            BufferedReader in =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String query = line.replaceAll("^GET [^?]*\\?| HTTP/1.1$", "");
+                String path = line.replaceAll("^GET |[?].*$", "");
+                for (; !line.isEmpty(); line = in.readLine()) {
+                    bytes.addAndGet(line.length() + 2);
+                }
+                bytes.addAndGet(2);
+                requests.incrementAndGet();
+                script.answer(parsed("path=" + path + "&" + query), counting(socket));
+            }
+        } catch (Exception failed) { // as scripted
+            reset(socket);
+        }
+    }
+
+    private OutputStream counting(Socket socket) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        return new OutputStream() {
+            @Override
+            public void write(int one) throws IOException {
+                write(new byte[] {(byte) one}, 0, 1);
+            }
+
+            @Override
+            public void write(byte[] from, int offset, int length) throws IOException {
+                bytes.addAndGet(length);
+                out.write(from, offset, length);
+            }
+        };
+    }
+
+    private static Map<String, String> parsed(String query) {
+        return Stream.of(query.split("&"))
+                .map(pair -> pair.split("=", 2))
+                .collect(Collectors.toMap(pair -> pair[0], pair -> pair[1]));
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException gone) {
+            return;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        open.forEach(ScriptedSource::reset);
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/configuration/follower/ServedView.java
@@ -0,0 +1,89 @@
+package saltstage.configuration.follower;
+
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Map;
+import saltstage.configuration.Change;
+import saltstage.configuration.ChangeHistory;
+import saltstage.configuration.ChangesResponse;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.ErrorResponse;
+import saltstage.configuration.Mutation;
+import saltstage.configuration.SnapshotPage;
+import saltstage.configuration.SnapshotPager;
+
+/** A sound source's state for {@link ScriptedSource}: the read API over a view and its history. */
+public final class ServedView implements ScriptedSource.Script {
+    private final ConfigurationView view;
+    private final ChangeHistory history;
+    private final SnapshotPager pager = new SnapshotPager();
+
+    public ServedView() {
+        this(new ConfigurationView());
+    }
+
+    /** Continues from this view; what was before it is not kept. */
+    public ServedView(ConfigurationView view) {
+        this.view = view;
+        history = new ChangeHistory(view.revision(), view.digest());
+    }
+
+    public synchronized Change accept(Mutation... mutations) {
+        Change change = view.accept(List.of(mutations));
+        history.append(change);
+        notifyAll();
+        return change;
+    }
+
+    @Override
+    public void answer(Map<String, String> query, OutputStream out) throws Exception {
+        if (query.get("path").endsWith("/snapshot")) {
+            snapshot(query, out);
+        } else {
+            changes(query, out);
+        }
+    }
+
+    private synchronized void snapshot(Map<String, String> query, OutputStream out)
+            throws Exception {
+        String from = query.get("from");
+        SnapshotPage page =
+                pager.page(
+                        view,
+                        Long.parseLong(query.get("revision")),
+                        from == null ? null : EntryKey.parse(from.replace("%2F", "/")),
+                        Integer.parseInt(query.get("limit")));
+        ScriptedSource.write(out, 200, ConfigurationJson.text(page));
+    }
+
+    private synchronized void changes(Map<String, String> query, OutputStream out)
+            throws Exception {
+        long after = Long.parseLong(query.get("after"));
+        long digest = ConfigurationJson.digest(query.get("digest"), "digest");
+        long until = System.nanoTime() + Long.parseLong(query.get("waitMs")) * 1_000_000;
+        while (view.revision() == after && System.nanoTime() < until) {
+            wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+        }
+        ChangeHistory.Answer answer =
+                history.after(after, digest, ConfigurationLimits.CHANGES_PER_ANSWER);
+        if (answer instanceof ChangeHistory.Changes changes) {
+            ChangesResponse response =
+                    new ChangesResponse(view.revision(), view.digest(), changes.changes());
+            ScriptedSource.write(out, 200, ConfigurationJson.text(response));
+            return;
+        }
+        switch ((ChangeHistory.Refusal) answer) {
+            case DIVERGED -> refuse(out, 409, ErrorResponse.DIVERGED);
+            case TRUNCATED -> refuse(out, 410, ErrorResponse.TRUNCATED);
+            default -> refuse(out, 421, ErrorResponse.BEHIND);
+        }
+    }
+
+    private void refuse(OutputStream out, int status, String error) throws Exception {
+        ScriptedSource.write(
+                out, status, ConfigurationJson.text(new ErrorResponse(error, view.revision(), 0)));
+    }
+}
