Configuration store: a follower's entries on the embedded store

Need: what a follower confirmed must outlive its process, whole.

ConfigurationDirectory sets aside what is damaged or of something else, with one event, and reads the state while the relay's other process writes there.

--- /dev/null
+++ b/relay/src/main/java/saltstage/configuration/follower/ConfigurationDirectory.java
@@ -0,0 +1,96 @@
+package saltstage.configuration.follower;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Instant;
+import java.util.List;
+import saltstage.configuration.Change;
+import saltstage.configuration.ConfigurationView;
+import saltstage.store.Disk;
+import saltstage.store.FileDisk;
+import saltstage.store.StoreEvents;
+import saltstage.store.StoreException;
+
+/**
+ * A directory with a {@link ConfigurationStore}. What is damaged or of something else is set aside,
+ * whole, and the follower begins anew. While another process of the same relay writes there, what
+ * it wrote is read, and writes fail until it has ended. For one writer.
+ */
+public final class ConfigurationDirectory implements ConfigurationPersistence, Closeable {
+    private static final String SET_ASIDE = ".set-aside-";
+
+    private final Path path;
+    private final StoreEvents events;
+    private final HeldConfiguration held;
+    private ConfigurationStore store;
+
+    /**
+     * Opens a directory, or makes it.
+     *
+     * @param events told of {@code configuration.set_aside}, {@code configuration.shared} and the
+     *     store's own events
+     */
+    public ConfigurationDirectory(Path path, StoreEvents events) throws IOException {
+        this.path = path;
+        this.events = events;
+        held = open();
+    }
+
+    /** What the directory held when it was opened. */
+    public HeldConfiguration held() {
+        return held;
+    }
+
+    private HeldConfiguration open() throws IOException {
+        Disk disk = FileDisk.at(path);
+        try {
+            return openStore(disk);
+        } catch (StoreException.Locked locked) {
+            events.tell("configuration.shared", "dir", path);
+            return ConfigurationStore.read(disk);
+        } catch (StoreException | ConfigurationStore.UnsoundStateException unsound) {
+            Path aside = path.resolveSibling(path.getFileName() + SET_ASIDE + Instant.now());
+            Files.move(path, aside, StandardCopyOption.ATOMIC_MOVE);
+            events.tell("configuration.set_aside", "to", aside, "why", unsound.getMessage());
+            return openStore(FileDisk.at(path));
+        }
+    }
+
+    private HeldConfiguration openStore(Disk disk) throws IOException {
+        store = ConfigurationStore.open(disk, events);
+        return store.held();
+    }
+
+    /** The store; opened now if another process held it at the start. */
+    private synchronized ConfigurationStore store() throws IOException {
+        if (store == null) {
+            openStore(FileDisk.at(path));
+        }
+        return store;
+    }
+
+    @Override
+    public void write(List<Change> changes) throws IOException {
+        store().write(changes);
+    }
+
+    @Override
+    public void replace(ConfigurationView view) throws IOException {
+        store().replace(view);
+    }
+
+    @Override
+    public void confirmed(Instant at) throws IOException {
+        store().confirmed(at);
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        if (store != null) {
+            store.close();
+        }
+    }
+}
--- a/relay/src/test/java/saltstage/store/FaultDisk.java
+++ b/relay/src/test/java/saltstage/store/FaultDisk.java
@@ -85,7 +85,7 @@
     }
 
     /** The disk as the next start finds it: all that was forced, and of the rest what the chance keeps. */
-    FaultDisk afterCrash(Random keep) {
+    public FaultDisk afterCrash(Random keep) {
         FaultDisk next = new FaultDisk();
         TreeMap<String, Node> kept = new TreeMap<>(durableNames);
         for (NameChange change : unsynced) {
