Distributor: command 'distributor serve', following the group with its state on disk

A zone's distributor has to serve after a restart with nobody reachable, and never a revision that a majority has not accepted.

DistributorProcess follows replicas with the follower's client, keeps what is in force in its folder, serves it and reports confirmations. A fault between what it holds and what it serves ends it with 70; a folder or address that cannot be had with 74.

--- a/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
@@ -15,6 +15,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {
             ClusterCommand.class,
+            DistributorCommand.class,
             LeaseCommand.class,
             WindowCommand.class,
             AgentCommand.class,
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/DistributorCommand.java
@@ -0,0 +1,71 @@
+package saltstage.coordinator.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.coordinator.distribution.DistributorProcess;
+import saltstage.coordinator.settings.CoordinatorSettings;
+import saltstage.coordinator.settings.DistributorSettings;
+
+/** Distributors of the group's configuration. */
+@Command(
+        name = "distributor",
+        description = "Serves the group's configuration to a zone's relays.",
+        mixinStandardHelpOptions = true,
+        subcommands = {DistributorCommand.Serve.class})
+final class DistributorCommand {
+    /** Its folder or address cannot be had. */
+    private static final int CANNOT_START = 74;
+
+    /** What it holds and what it serves have come apart. */
+    private static final int FAULT = 70;
+
+    private DistributorCommand() {}
+
+    /** One distributor. */
+    @Command(
+            name = "serve",
+            description = "Runs a distributor until SIGTERM.",
+            mixinStandardHelpOptions = true)
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--settings", required = true, paramLabel = "FILE")
+        private Path settings;
+
+        @Option(
+                names = "--name",
+                required = true,
+                description = "which distributor of the settings")
+        private String name;
+
+        @Override
+        public Integer call() throws Exception {
+            DistributorSettings mine = CoordinatorSettings.read(settings).distributor(name);
+            DistributorProcess process;
+            try {
+                process = new DistributorProcess(mine, Serve::fail);
+            } catch (IOException cannot) {
+                System.err.println("saltstage: " + cannot.getMessage());
+                return CANNOT_START;
+            }
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> close(process)));
+            new CountDownLatch(1).await(); // SIGTERM ends the process
+            return 0;
+        }
+
+        private static void close(DistributorProcess process) {
+            try {
+                process.close();
+            } catch (IOException failed) {
+                System.err.println("saltstage: " + failed.getMessage());
+            }
+        }
+
+        private static void fail(RuntimeException cause) {
+            System.err.println("saltstage: " + cause.getMessage());
+            Runtime.getRuntime().halt(FAULT);
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorProcess.java
@@ -0,0 +1,190 @@
+package saltstage.coordinator.distribution;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import saltstage.configuration.Change;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.follower.ConfigurationClient;
+import saltstage.configuration.follower.ConfigurationDirectory;
+import saltstage.configuration.follower.FollowerListener;
+import saltstage.configuration.follower.FollowerOptions;
+import saltstage.configuration.follower.FollowerResources;
+import saltstage.configuration.follower.FollowerTimings;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
+import saltstage.coordinator.settings.DistributorSettings;
+import saltstage.log.Log;
+
+/**
+ * A distributor at work: it follows the group, keeps what is in force on its disk, serves it to its
+ * own followers and reports what they have confirmed. Replicas serve accepted changes only, so
+ * nothing else ever gets here. It serves what it holds from its start on, whoever can be reached.
+ */
+public final class DistributorProcess implements AutoCloseable {
+    /**
+     * Shorter than a relay's: a distributor that waits for a dead replica holds back a whole zone,
+     * and there are few distributors.
+     */
+    private static final FollowerTimings TIMINGS =
+            new FollowerTimings(
+                    Duration.ofSeconds(3),
+                    Duration.ofMillis(100),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(15),
+                    Duration.ofMinutes(1));
+
+    private static final Duration CONNECT = Duration.ofMillis(700);
+
+    /** Told when the distributor cannot go on with a sound state. */
+    public interface Failure {
+        /** Ends the process. */
+        void end(RuntimeException cause);
+    }
+
+    private final ConfigurationDirectory directory;
+    private final DistributorListener listener;
+    private final ConfigurationClient client;
+    private final ScheduledExecutorService scheduler = scheduler("distributor-timer");
+    private final ScheduledExecutorService writer = scheduler("distributor-writer");
+    private final Thread reporter;
+
+    /** Starts it; throws IOException where its folder or its address cannot be had. */
+    public DistributorProcess(DistributorSettings settings, Failure failure) throws IOException {
+        Files.createDirectories(settings.dir());
+        directory = new ConfigurationDirectory(settings.dir(), Log::info);
+        DistributorHandler handler =
+                new DistributorHandler(
+                        settings.name(), directory.held().view(), DistributorProcess::nowMs);
+        listener = new DistributorListener(settings.clients(), handler);
+        client =
+                new ConfigurationClient(
+                        options(settings),
+                        resources(),
+                        directory,
+                        directory.held().view(),
+                        new Serving(handler, failure));
+        GroupClient group =
+                new GroupClient(
+                        settings.sources().stream().map(DistributorProcess::text).toList(),
+                        Ticker.SYSTEM);
+        ConfirmationReporter reports =
+                new ConfirmationReporter(
+                        settings.name(),
+                        settings.zone(),
+                        handler,
+                        group,
+                        DistributorProcess::nowMs);
+        reporter = thread(reports, "distributor-reporter");
+        Log.info(
+                "distributor.ready",
+                "name",
+                settings.name(),
+                "zone",
+                settings.zone(),
+                "clients",
+                settings.clients(),
+                "revision",
+                handler.revision());
+        client.start();
+        reporter.start();
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static FollowerOptions options(DistributorSettings settings) {
+        List<URI> sources =
+                settings.sources().stream()
+                        .map(source -> FollowerOptions.source(text(source)))
+                        .toList();
+        return new FollowerOptions(sources, settings.name(), settings.zone(), TIMINGS);
+    }
+
+    private FollowerResources resources() {
+        HttpClient http =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT)
+                        .build();
+        return new FollowerResources(
+                http, scheduler, writer, Clock.systemUTC(), new SharedRandom());
+    }
+
+    /** Draws from the random numbers of whichever thread asks. */
+    private static final class SharedRandom implements java.util.random.RandomGenerator {
+        @Override
+        public long nextLong() {
+            return ThreadLocalRandom.current().nextLong();
+        }
+    }
+
+    private static ScheduledExecutorService scheduler(String name) {
+        return Executors.newSingleThreadScheduledExecutor(work -> thread(work, name));
+    }
+
+    private static Thread thread(Runnable work, String name) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Hands what comes into force to the handler, and tells of sources. */
+    private record Serving(DistributorHandler handler, Failure failure)
+            implements FollowerListener {
+        @Override
+        public void changesInForce(List<Change> changes) {
+            handler.changesInForce(changes);
+        }
+
+        @Override
+        public void snapshotInForce(ConfigurationView view) {
+            handler.snapshotInForce(view);
+            Log.info("distributor.snapshot", "revision", view.revision());
+        }
+
+        @Override
+        public void sourceSettled(URI source) {
+            Log.info("distributor.source", "at", source);
+        }
+
+        @Override
+        public void sourceLeft(URI source, URI next, String reason) {
+            Log.info("distributor.source-left", "from", source, "to", next, "why", reason);
+        }
+
+        @Override
+        public void writePostponed(String reason) {
+            Log.warn("distributor.write-postponed", "why", reason);
+        }
+
+        @Override
+        public void fault(RuntimeException fault) {
+            Log.error("distributor.fault", fault);
+            failure.end(fault);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        reporter.interrupt();
+        client.close();
+        listener.close();
+        scheduler.shutdownNow();
+        writer.shutdownNow();
+        directory.close();
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
@@ -117,7 +117,10 @@
         DistributorSettings distributor = distributors.get(name);
         if (distributor == null) {
             throw new MalformedException(
-                    "no distributor '" + name + "' in the settings; there are " + distributors.keySet());
+                    "no distributor '"
+                            + name
+                            + "' in the settings; there are "
+                            + distributors.keySet());
         }
         return distributor;
     }
