Trials of the configuration: group, distributors and followers under faults

Whether a change is in force everywhere in time, and nowhere before it is accepted, shows on processes only.

'lab trial configuration' starts three replicas, two distributors and followers behind faulty links, writes changes while faults of a seed befall them, and judges by a witness outside; '--steps' kills each process at each step of a change.

--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -11,6 +11,7 @@
 import saltstage.lab.measure.StartupCommand;
 import saltstage.lab.store.StoreBench;
 import saltstage.lab.trial.DemoFleetCommand;
+import saltstage.lab.trial.FollowersCommand;
 import saltstage.lab.trial.LeaderCommand;
 import saltstage.lab.trial.TrialCommand;
 import saltstage.lab.trial.WorkerCommand;
@@ -20,7 +21,7 @@
     mixinStandardHelpOptions = true,
     subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, StoreBench.class,
         RestartCommand.class, LoadCommand.class, AmqpBench.class, TrialCommand.class, WorkerCommand.class,
-        LeaderCommand.class, DemoFleetCommand.class,
+        LeaderCommand.class, DemoFleetCommand.class, FollowersCommand.class,
         CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationFleet.java
@@ -0,0 +1,207 @@
+package saltstage.lab.trial;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
+
+/**
+ * Two distributors and a process of followers for each of their zones beside a group, with faulty
+ * links between distributors and replicas and between followers and distributors.
+ */
+final class ConfigurationFleet implements AutoCloseable {
+    private static final List<String> ZONES = List.of("a1", "a2");
+
+    private final GroupUnderTest group;
+    private final ConfigurationWitness witness;
+    private final int followersPerZone;
+    private final Map<String, InetSocketAddress> distributorAddresses = new LinkedHashMap<>();
+    private final Map<String, Proc> distributors = new LinkedHashMap<>();
+    private final Map<String, Proc> followers = new LinkedHashMap<>();
+
+    /** By the one who asks: the links to its sources, the preferred one first. */
+    private final Map<String, List<FaultProxy>> links = new LinkedHashMap<>();
+
+    ConfigurationFleet(
+            Path dir, GroupUnderTest group, ConfigurationWitness witness, int followersPerZone)
+            throws IOException {
+        this.group = group;
+        this.witness = witness;
+        this.followersPerZone = followersPerZone;
+        for (String zone : ZONES) {
+            distributorAddresses.put("d-" + zone, freeAddress());
+        }
+        Path settings = writeSettings(dir);
+        for (String zone : ZONES) {
+            String distributor = "d-" + zone;
+            distributors.put(distributor, distributor(dir, settings, distributor));
+            followers.put("f-" + zone, followers(dir, zone));
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) any.getLocalSocketAddress();
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static String address(FaultProxy link) {
+        return "127.0.0.1:" + link.address().getPort();
+    }
+
+    private Path writeSettings(Path dir) throws IOException {
+        StringBuilder text =
+                new StringBuilder(Files.readString(group.settings(group.names().get(0))));
+        for (String zone : ZONES) {
+            String name = "d-" + zone;
+            List<FaultProxy> toReplicas = new ArrayList<>();
+            for (String replica : rotated(group.places(), ZONES.indexOf(zone))) {
+                String[] parts = replica.split(":");
+                toReplicas.add(
+                        new FaultProxy(
+                                new InetSocketAddress(parts[0], Integer.parseInt(parts[1]))));
+            }
+            links.put(name, toReplicas);
+            List<String> sources =
+                    toReplicas.stream().map(link -> "\"" + address(link) + "\"").toList();
+            text.append("distributor \"" + name + "\" {\n  zone = \"" + zone + "\"\n")
+                    .append("  clients = \"" + text(distributorAddresses.get(name)) + "\"\n")
+                    .append("  sources = [" + String.join(", ", sources) + "]\n")
+                    .append("  dir = \"" + dir.resolve("distributors") + "\"\n}\n");
+        }
+        Path settings = dir.resolve("distributors.hcl");
+        Files.writeString(settings, text);
+        return settings;
+    }
+
+    private static <T> List<T> rotated(Collection<T> all, int by) {
+        List<T> rotated = new ArrayList<>(all);
+        java.util.Collections.rotate(rotated, -by);
+        return rotated;
+    }
+
+    private static Proc distributor(Path dir, Path settings, String name) {
+        return Proc.coordinator(
+                name,
+                Proc.builtJar(),
+                dir,
+                List.of("distributor", "serve", "--settings", settings.toString(), "--name", name));
+    }
+
+    private Proc followers(Path dir, String zone) throws IOException {
+        String name = "f-" + zone;
+        List<FaultProxy> toDistributors = new ArrayList<>();
+        for (InetSocketAddress at :
+                rotated(distributorAddresses.values(), ZONES.indexOf(zone))) {
+            toDistributors.add(new FaultProxy(at));
+        }
+        links.put(name, toDistributors);
+        List<String> sources =
+                toDistributors.stream().map(ConfigurationFleet::address).toList();
+        return Proc.lab(
+                name,
+                dir,
+                List.of(
+                        "trial-followers",
+                        "--name",
+                        name,
+                        "--zone",
+                        zone,
+                        "--count",
+                        Integer.toString(followersPerZone),
+                        "--dir",
+                        dir.resolve("followers").toString(),
+                        "--sources",
+                        String.join(",", sources),
+                        "--witness",
+                        Integer.toString(witness.address().getPort())));
+    }
+
+    /** Starts all and waits until each follower has told the witness what it has. */
+    void start(Duration within) throws IOException, InterruptedException {
+        for (Proc distributor : distributors.values()) {
+            distributor.start();
+        }
+        for (Proc process : followers.values()) {
+            process.start();
+        }
+        if (!witness.awaitRevision(0, followerCount(), within.toMillis())) {
+            throw new IOException("not all followers have started");
+        }
+    }
+
+    int followerCount() {
+        return ZONES.size() * followersPerZone;
+    }
+
+    Proc distributor(String name) {
+        return distributors.get(name);
+    }
+
+    Proc followers(String name) {
+        return followers.get(name);
+    }
+
+    List<String> distributorNames() {
+        return List.copyOf(distributors.keySet());
+    }
+
+    List<String> followerNames() {
+        return List.copyOf(followers.keySet());
+    }
+
+    /** The links of a distributor to replicas, or of followers to distributors. */
+    List<FaultProxy> links(String asking) {
+        return links.get(asking);
+    }
+
+    /** What a distributor says of itself. */
+    JsonNode status(String distributor, Duration within) throws IOException, InterruptedException {
+        String at = text(distributorAddresses.get(distributor));
+        return new GroupClient(List.of(at), Ticker.SYSTEM)
+                .get("/v1/configuration/status", within);
+    }
+
+    /** Everything runs, and every link is clear again. */
+    void heal() throws IOException, InterruptedException {
+        links.values().forEach(some -> some.forEach(FaultProxy::heal));
+        for (Proc proc : processes()) {
+            proc.goOn();
+            if (!proc.alive()) {
+                proc.start();
+            }
+        }
+    }
+
+    private List<Proc> processes() {
+        List<Proc> all = new ArrayList<>(distributors.values());
+        all.addAll(followers.values());
+        return all;
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        for (Proc proc : processes()) {
+            proc.close();
+        }
+        for (List<FaultProxy> some : links.values()) {
+            for (FaultProxy link : some) {
+                link.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationSteps.java
@@ -0,0 +1,142 @@
+package saltstage.lab.trial;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import saltstage.lab.trial.ConfigurationWriter.Accepted;
+
+/**
+ * Kills a process at a step of one change, starts it again, and waits until the change is in force
+ * at all followers: each step with each process once.
+ */
+final class ConfigurationSteps {
+    /** How far a change is when the process is killed. */
+    enum Step {
+        /** It is on its way to the leader, or in its log; the writer has no reply. */
+        LOGGED,
+        /** The writer has its reply. */
+        ACCEPTED,
+        /** A distributor serves it. */
+        AT_DISTRIBUTOR,
+        /** It is in force at the first follower. */
+        AT_FOLLOWER,
+        /** A distributor has all confirmations of its zone. */
+        CONFIRMED
+    }
+
+    /** Who is killed. */
+    enum Victim {
+        LEADER,
+        DISTRIBUTOR,
+        FOLLOWERS,
+        ALL_CONTROL
+    }
+
+    private static final Duration CALL = Duration.ofSeconds(30);
+    private static final long MOST_MS = 30_000;
+    private static final int LOGGED_MS = 2;
+    private static final int DOWN_MS = 300;
+    private static final String DISTRIBUTOR = "d-a1";
+    private static final String FOLLOWERS = "f-a1";
+
+    private final ConfigurationTrial trial;
+
+    ConfigurationSteps(ConfigurationTrial trial) {
+        this.trial = trial;
+    }
+
+    /** Returns how long it took from acceptance until all followers had it, milliseconds. */
+    long play(Step step, Victim victim) throws IOException, InterruptedException {
+        ConfigurationWitness witness = trial.witness();
+        String leader = trial.group().leader(CALL);
+        long before = newestRevision();
+        CompletableFuture<Accepted> change = CompletableFuture.supplyAsync(this::write);
+        awaitStep(step, change, before + 1);
+        kill(victim, leader);
+        Thread.sleep(DOWN_MS);
+        trial.group().heal();
+        trial.fleet().heal();
+        Accepted accepted = change.join();
+        if (accepted.revision() != before + 1) {
+            witness.breach("a change came to be " + (accepted.revision() - before) + " revisions");
+        }
+        int all = trial.fleet().followerCount();
+        if (!witness.awaitRevision(accepted.revision(), all, MOST_MS)) {
+            throw new IOException("not in force everywhere after " + MOST_MS + " ms");
+        }
+        witness.compare(trial.writer().digests());
+        return witness.inForceMs(accepted.revision()).values().stream()
+                .mapToLong(atMs -> Math.max(0, atMs - accepted.atMs()))
+                .max()
+                .orElseThrow();
+    }
+
+    private long newestRevision() {
+        List<Accepted> accepted = trial.writer().accepted();
+        return accepted.get(accepted.size() - 1).revision();
+    }
+
+    private Accepted write() {
+        try {
+            return trial.writer().moveShards();
+        } catch (IOException | InterruptedException failed) {
+            throw new CompletionException(failed);
+        }
+    }
+
+    private void awaitStep(Step step, CompletableFuture<Accepted> change, long revision)
+            throws IOException, InterruptedException {
+        switch (step) {
+            case LOGGED -> Thread.sleep(LOGGED_MS);
+            case ACCEPTED -> change.join();
+            case AT_DISTRIBUTOR -> {
+                while (status().path("revision").asLong() < revision) {
+                    Thread.sleep(1);
+                }
+            }
+            case AT_FOLLOWER -> {
+                if (!trial.witness().awaitRevision(revision, 1, MOST_MS)) {
+                    throw new IOException("at no follower after " + MOST_MS + " ms");
+                }
+            }
+            case CONFIRMED -> awaitConfirmations(revision);
+            default -> throw new IllegalStateException(step.name());
+        }
+    }
+
+    private JsonNode status() throws IOException, InterruptedException {
+        return trial.fleet().status(DISTRIBUTOR, CALL);
+    }
+
+    private void awaitConfirmations(long revision) throws IOException, InterruptedException {
+        long untilNanos = System.nanoTime() + Duration.ofMillis(MOST_MS).toNanos();
+        while (System.nanoTime() < untilNanos) {
+            JsonNode status = status();
+            for (JsonNode zone : status.path("zones")) {
+                int followers = zone.path("followers").asInt();
+                if (status.path("revision").asLong() >= revision
+                        && followers > 0
+                        && zone.path("confirmed").asInt() == followers) {
+                    return;
+                }
+            }
+            Thread.sleep(1);
+        }
+        throw new IOException("not confirmed after " + MOST_MS + " ms");
+    }
+
+    private void kill(Victim victim, String leader) throws IOException, InterruptedException {
+        switch (victim) {
+            case LEADER -> trial.group().proc(leader).kill();
+            case DISTRIBUTOR -> trial.fleet().distributor(DISTRIBUTOR).kill();
+            case FOLLOWERS -> trial.fleet().followers(FOLLOWERS).kill();
+            case ALL_CONTROL ->
+                    new ConfigurationFault(ConfigurationFault.Kind.CONTROL_RESTARTED, "", 0)
+                            .begin(trial.group(), trial.fleet());
+            default -> throw new IllegalStateException(victim.name());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationTrialCommand.java
@@ -0,0 +1,85 @@
+package saltstage.lab.trial;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.lab.Home;
+
+/** Trials of the configuration's way from the group to followers. */
+@Command(
+        name = "configuration",
+        mixinStandardHelpOptions = true,
+        description = "Changes written under faults; exit 1 if anything was not as it should be.")
+public final class ConfigurationTrialCommand implements Callable<Integer> {
+    @Option(names = "--seed", defaultValue = "1", description = "the first (default: 1)")
+    private long seed;
+
+    @Option(names = "--seeds", defaultValue = "1", description = "how many (default: 1)")
+    private int seeds;
+
+    @Option(names = "--faults", defaultValue = "9", description = "each seed (default: 9)")
+    private int faults;
+
+    @Option(names = "--followers", defaultValue = "5", description = "each zone (default: 5)")
+    private int followers;
+
+    @Option(names = "--steps", description = "kill each process at each step of a change instead")
+    private boolean steps;
+
+    @Override
+    public Integer call() throws Exception {
+        Path dir = Files.createTempDirectory("trial-configuration-");
+        boolean sound;
+        try (ConfigurationTrial trial = new ConfigurationTrial(dir, followers)) {
+            sound = steps ? table(trial) : seeds(trial);
+        }
+        if (sound) {
+            Home.delete(dir);
+        } else {
+            System.out.println("in " + dir);
+        }
+        return sound ? 0 : 1;
+    }
+
+    private boolean seeds(ConfigurationTrial trial) throws Exception {
+        boolean sound = true;
+        for (long each = seed; each < seed + seeds && sound; each++) {
+            ConfigurationTrial.Verdict verdict = trial.play(each, faults);
+            System.out.printf(
+                    "seed %d: %d changes, %d observations; in force after p50 %d, p99 %d, most"
+                            + " %d ms; most by fault %s%s%n",
+                    each,
+                    verdict.changes(),
+                    verdict.observations(),
+                    verdict.medianMs(),
+                    verdict.p99Ms(),
+                    verdict.longestMs(),
+                    verdict.longestMsByFault(),
+                    verdict.broken().isEmpty() ? "" : ", BROKEN " + verdict.broken());
+            sound = verdict.broken().isEmpty();
+        }
+        return sound;
+    }
+
+    private static boolean table(ConfigurationTrial trial) throws InterruptedException {
+        ConfigurationSteps cells = new ConfigurationSteps(trial);
+        int failed = 0;
+        for (ConfigurationSteps.Step step : ConfigurationSteps.Step.values()) {
+            for (ConfigurationSteps.Victim victim : ConfigurationSteps.Victim.values()) {
+                String came;
+                try {
+                    came = "in force everywhere after " + cells.play(step, victim) + " ms";
+                } catch (IOException not) {
+                    came = not.getMessage();
+                    failed++;
+                }
+                System.out.printf("%-15s %-12s %s%n", step, victim, came);
+            }
+        }
+        System.out.println("broken: " + trial.witness().broken());
+        return failed == 0 && trial.witness().broken().isEmpty();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationWitness.java
@@ -0,0 +1,176 @@
+package saltstage.lab.trial;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationView;
+
+/**
+ * Hears from each follower what has come into force there, outside the group, the distributors and
+ * the followers. It checks at once what an observation alone can break: no follower goes back, and
+ * no two have one revision with different digests. What was accepted is known later: {@link
+ * #compare}.
+ */
+final class ConfigurationWitness implements AutoCloseable {
+    /** A revision as it came into force at one follower; times are milliseconds since the start. */
+    record Observation(String follower, long revision, String digest, long atMs, boolean start) {}
+
+    private final ServerSocket listener;
+    private final long startNanos = System.nanoTime();
+    private final List<Observation> observations = new ArrayList<>();
+    private final Map<String, Observation> newest = new TreeMap<>();
+    private final Map<Long, Observation> firstOfRevision = new TreeMap<>();
+    private final List<String> broken = new ArrayList<>();
+
+    ConfigurationWitness() throws IOException {
+        listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work, "configuration-witness");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket from = listener.accept();
+                daemon(() -> serve(from));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket from) {
+        try (from;
+                BufferedReader in =
+                        new BufferedReader(
+                                new InputStreamReader(
+                                        from.getInputStream(), StandardCharsets.US_ASCII))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String[] words = line.split(" ");
+                observe(words[0], words[1], Long.parseLong(words[2]), words[3]);
+            }
+        } catch (IOException over) {
+            return;
+        }
+    }
+
+    /** Takes what a follower tells; {@code what} is how the revision came into force. */
+    synchronized void observe(String follower, String what, long revision, String digest) {
+        Observation now =
+                new Observation(follower, revision, digest, nowMs(), what.equals("start"));
+        observations.add(now);
+        if (!List.of("start", "applied", "snapshot").contains(what)) {
+            broken.add(follower + " at revision " + revision + ": " + what);
+        }
+        Observation before = newest.put(follower, now);
+        if (before != null && revision < before.revision()) {
+            broken.add(follower + " went back from " + before.revision() + " to " + revision);
+        }
+        Observation first = firstOfRevision.putIfAbsent(revision, now);
+        if (first != null && !first.digest().equals(digest)) {
+            broken.add(
+                    follower + " and " + first.follower() + " differ at revision " + revision);
+        }
+        notifyAll();
+    }
+
+    /**
+     * Compares all observations with what the group accepted.
+     *
+     * @param digests by revision, as accepted
+     */
+    synchronized void compare(Map<Long, String> digests) {
+        for (Observation one : firstOfRevision.values()) {
+            String accepted = digests.get(one.revision());
+            if (accepted == null) {
+                broken.add(one.follower() + " had revision " + one.revision() + ", never accepted");
+            } else if (!accepted.equals(one.digest())) {
+                broken.add(one.follower() + " had another digest at revision " + one.revision());
+            }
+        }
+    }
+
+    /** Waits until so many followers have this revision or a newer one; false if not in time. */
+    synchronized boolean awaitRevision(long revision, int followers, long withinMs)
+            throws InterruptedException {
+        long untilMs = nowMs() + withinMs;
+        while (count(revision) < followers) {
+            long leftMs = untilMs - nowMs();
+            if (leftMs <= 0) {
+                return false;
+            }
+            wait(leftMs);
+        }
+        return true;
+    }
+
+    private long count(long revision) {
+        return newest.values().stream().filter(one -> one.revision() >= revision).count();
+    }
+
+    /** When each follower had a revision, or a newer one, for the first time. */
+    synchronized Map<String, Long> inForceMs(long revision) {
+        Map<String, Long> times = new TreeMap<>();
+        for (Observation one : observations) {
+            if (one.revision() >= revision) {
+                times.putIfAbsent(one.follower(), one.atMs());
+            }
+        }
+        return times;
+    }
+
+    /** The newest observation of each follower. */
+    synchronized Map<String, Observation> newest() {
+        return new TreeMap<>(newest);
+    }
+
+    /** How many observations there were. */
+    synchronized int size() {
+        return observations.size();
+    }
+
+    /** What must not be; none if all is as it should be. */
+    synchronized List<String> broken() {
+        return List.copyOf(broken);
+    }
+
+    /** Adds what others found. */
+    synchronized void breach(String what) {
+        broken.add(what);
+    }
+
+    long nowMs() {
+        return (System.nanoTime() - startNanos) / 1_000_000;
+    }
+
+    /** The digests that revision 0 has. */
+    static Map<Long, String> nothing() {
+        Map<Long, String> digests = new TreeMap<>();
+        digests.put(0L, ConfigurationJson.text(new ConfigurationView().digest()));
+        return digests;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationWriter.java
@@ -0,0 +1,133 @@
+package saltstage.lab.trial;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.configuration.ConfigurationCommands;
+import saltstage.coordinator.configuration.ConfigurationReplies;
+import saltstage.coordinator.model.Reply;
+
+/** Changes a group's configuration and keeps what was accepted, and when. */
+final class ConfigurationWriter {
+    /** An accepted change; the time is the witness's, when the reply came. */
+    record Accepted(long revision, String digest, long atMs) {}
+
+    private static final Duration CALL = Duration.ofSeconds(20);
+    private static final int BACKENDS = 4;
+    private static final int SHARDS = 40;
+
+    private final GroupClient client;
+    private final ConfigurationWitness witness;
+    private final Random random;
+    private final List<Accepted> accepted = new ArrayList<>();
+    private int changes;
+
+    ConfigurationWriter(GroupClient client, ConfigurationWitness witness, long seed) {
+        this.client = client;
+        this.witness = witness;
+        random = new Random(seed);
+    }
+
+    /** Waits until the group takes configuration, and puts the backends in. */
+    void begin(Duration within) throws IOException, InterruptedException {
+        List<Mutation> backends = new ArrayList<>();
+        for (int i = 0; i < BACKENDS; i++) {
+            EntryValue backend =
+                    new EntryValue.Backend(
+                            "10.0.0." + (i + 1) + ":5000",
+                            "a1",
+                            0,
+                            EntryValue.BackendState.READY,
+                            1,
+                            0);
+            backends.add(new Mutation(EntryKey.parse("backend/gw-" + i), backend));
+        }
+        long untilNanos = System.nanoTime() + within.toNanos();
+        Reply reply = send(backends);
+        while (!(reply instanceof ConfigurationReplies.Changed)) {
+            if (System.nanoTime() > untilNanos) {
+                throw new IOException("no configuration is taken: " + reply);
+            }
+            Thread.sleep(100);
+            reply = send(backends);
+        }
+    }
+
+    /** Moves some shards to other backends, as one change. */
+    Accepted moveShards() throws IOException, InterruptedException {
+        changes++;
+        List<Mutation> moves = new ArrayList<>();
+        for (int i = 0; i <= random.nextInt(5); i++) {
+            EntryKey key = EntryKey.parse("shard/topic-1/" + random.nextInt(SHARDS));
+            boolean delete = random.nextInt(10) == 0;
+            EntryValue to = new EntryValue.Shard("gw-" + random.nextInt(BACKENDS));
+            moves.add(new Mutation(key, delete ? null : to));
+        }
+        // Each change says something new, whatever the moves come to.
+        String weight = "10.0.1." + changes % 200 + ":" + (1 + changes);
+        EntryValue marker =
+                new EntryValue.Backend(
+                        weight, "a1", 0, EntryValue.BackendState.DRAINING, 0, changes);
+        moves.add(new Mutation(EntryKey.parse("backend/marker"), marker));
+        Reply reply = send(moves);
+        if (!(reply instanceof ConfigurationReplies.Changed)) {
+            throw new IOException("refused: " + reply);
+        }
+        return accepted.get(accepted.size() - 1);
+    }
+
+    private Reply send(List<Mutation> mutations) throws IOException, InterruptedException {
+        Reply reply =
+                client.send(
+                                new ConfigurationCommands.ChangeConfiguration(
+                                        "trial", mutations, Map.of()),
+                                CALL)
+                        .reply();
+        if (reply instanceof ConfigurationReplies.Changed changed) {
+            accepted.add(new Accepted(changed.revision(), changed.digest(), witness.nowMs()));
+        }
+        return reply;
+    }
+
+    List<Accepted> accepted() {
+        return List.copyOf(accepted);
+    }
+
+    /** What the group has accepted, by revision, as it says itself now; also what this was told. */
+    Map<Long, String> digests() throws IOException, InterruptedException {
+        Map<Long, String> digests = ConfigurationWitness.nothing();
+        long after = 0;
+        while (true) {
+            JsonNode answer =
+                    client.get(
+                            "/v1/configuration/changes?after="
+                                    + after
+                                    + "&digest="
+                                    + digests.get(after)
+                                    + "&follower=trial&zone=trial&waitMs=0",
+                            CALL);
+            for (JsonNode change : answer.path("changes")) {
+                after = change.path("revision").asLong();
+                digests.put(after, change.path("digest").asText());
+            }
+            if (after >= answer.path("revision").asLong()) {
+                break;
+            }
+        }
+        for (Accepted one : accepted) {
+            if (!one.digest().equals(digests.get(one.revision()))) {
+                witness.breach("revision " + one.revision() + " was accepted and is lost or other");
+            }
+        }
+        return new TreeMap<>(digests);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/trial/FollowersCommand.java
@@ -0,0 +1,164 @@
+package saltstage.lab.trial;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import saltstage.configuration.Change;
+import saltstage.configuration.ConfigurationJson;
+import saltstage.configuration.ConfigurationView;
+import saltstage.configuration.follower.ConfigurationClient;
+import saltstage.configuration.follower.ConfigurationDirectory;
+import saltstage.configuration.follower.FollowerListener;
+import saltstage.configuration.follower.FollowerOptions;
+import saltstage.configuration.follower.FollowerResources;
+import saltstage.configuration.follower.FollowerTimings;
+
+/**
+ * Followers without a relay around them: each with a folder of its own and an own copy of what it
+ * was told, whose digest it tells the witness with each revision that comes into force.
+ */
+@Command(name = "trial-followers", description = "Followers of a trial.", hidden = true)
+public final class FollowersCommand implements Callable<Integer> {
+    private static final Duration CONNECT = Duration.ofMillis(500);
+
+    @Option(names = "--sources", split = ",", required = true)
+    private List<String> sources;
+
+    @Option(names = "--witness", required = true)
+    private int witness;
+
+    @Option(names = "--name", required = true, description = "followers are NAME-1, NAME-2, ...")
+    private String name;
+
+    @Option(names = "--zone", required = true)
+    private String zone;
+
+    @Option(names = "--count", defaultValue = "3")
+    private int count;
+
+    @Option(names = "--dir", required = true)
+    private Path dir;
+
+    @Option(names = "--poll-ms", description = "in place of a relay's usual wait")
+    private Long pollMs;
+
+    private static ScheduledExecutorService executor() {
+        return Executors.newSingleThreadScheduledExecutor(
+                work -> {
+                    Thread thread = new Thread(work, "follower");
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
+    private FollowerTimings timings() {
+        FollowerTimings usual = FollowerTimings.usual();
+        return pollMs == null
+                ? usual
+                : new FollowerTimings(
+                        Duration.ofMillis(pollMs),
+                        usual.retryBase(),
+                        usual.retryMost(),
+                        usual.preferredPause(),
+                        usual.preferredMost());
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        ScheduledExecutorService timer = executor();
+        HttpClient http =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT)
+                        .build();
+        List<URI> uris = sources.stream().map(FollowerOptions::source).toList();
+        RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
+        for (int i = 1; i <= count; i++) {
+            FollowerOptions options = new FollowerOptions(uris, name + "-" + i, zone, timings());
+            FollowerResources resources =
+                    new FollowerResources(http, timer, executor(), Clock.systemUTC(), random);
+            start(options, resources);
+        }
+        new CountDownLatch(1).await(); // until it is killed
+        return 0;
+    }
+
+    private void start(FollowerOptions options, FollowerResources resources) throws IOException {
+        Path own = Files.createDirectories(dir.resolve(options.name()));
+        ConfigurationDirectory disk = new ConfigurationDirectory(own, FollowersCommand::tell);
+        Told told = new Told(options.name(), new Socket("127.0.0.1", witness));
+        told.begin(disk.held().view());
+        new ConfigurationClient(options, resources, disk, disk.held().view(), told).start();
+    }
+
+    private static void tell(String event, Object... pairs) {
+        System.out.println(event + " " + List.of(pairs));
+    }
+
+    /** What one follower was told, kept apart from the client's own state. */
+    private static final class Told implements FollowerListener {
+        private final String name;
+        private final Socket witness;
+        private ConfigurationView copy;
+
+        Told(String name, Socket witness) throws IOException {
+            this.name = name;
+            this.witness = witness;
+            witness.setTcpNoDelay(true);
+        }
+
+        void begin(ConfigurationView held) {
+            copy = new ConfigurationView(held.revision(), held.entries().values());
+            send("start");
+        }
+
+        @Override
+        public void changesInForce(List<Change> changes) {
+            for (Change change : changes) {
+                ConfigurationView.Outcome outcome = copy.apply(change);
+                send(outcome == ConfigurationView.Outcome.APPLIED ? "applied" : outcome.name());
+            }
+        }
+
+        @Override
+        public void snapshotInForce(ConfigurationView view) {
+            copy = new ConfigurationView(view.revision(), view.entries().values());
+            send("snapshot");
+        }
+
+        @Override
+        public void sourceLeft(URI source, URI next, String reason) {
+            System.out.println(name + " left " + source + " for " + next + ": " + reason);
+        }
+
+        @Override
+        public void fault(RuntimeException fault) {
+            send("fault-" + fault.getClass().getSimpleName());
+        }
+
+        private void send(String what) {
+            String digest = ConfigurationJson.text(copy.digest());
+            String line = name + " " + what + " " + copy.revision() + " " + digest + "\n";
+            try {
+                witness.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException trialIsOver) {
+                System.out.println(trialIsOver.getMessage());
+            }
+        }
+    }
+}
--- a/lab/src/main/java/saltstage/lab/trial/TrialCommand.java
+++ b/lab/src/main/java/saltstage/lab/trial/TrialCommand.java
@@ -10,7 +10,7 @@
 import saltstage.lab.Home;
 
 /** Trials of leases, one seed after the other; a seed that fails is shrunk to the faults that it takes. */
-@Command(name = "trial", mixinStandardHelpOptions = true,
+@Command(name = "trial", mixinStandardHelpOptions = true, subcommands = ConfigurationTrialCommand.class,
     description = "Real processes with faults between them; exit 1 with the seeds that failed.")
 public final class TrialCommand implements Callable<Integer> {
     @Option(names = "--seeds", defaultValue = "1..10", description = "A..B (default: ${DEFAULT-VALUE})")
