Leader keeps a distributor's reports by zone, not one for each distributor

At a fail-over a distributor serves followers of two zones; its report of the second replaced that of the first, so 'status' lost a zone.

FollowerReports keys them by zone and distributor. FollowerReportsByZoneTest and FollowerReportsTest pass.

--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
@@ -1,14 +1,15 @@
 package saltstage.coordinator.configuration;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
- * The newest report of each distributor. Soft state of whoever leads: a new leader begins with
- * none. Bounded: where too many distributors report, the one that was heard longest ago is
- * forgotten. Not thread safe.
+ * The newest report of each distributor for each zone whose followers it serves: at a fail-over
+ * that is not only its own. Soft state of whoever leads: a new leader begins with none. Bounded:
+ * where there are too many reports, the one that came longest ago is forgotten. Not thread safe.
  */
 public final class FollowerReports {
     /** Most distributors whose reports are kept. */
@@ -25,26 +26,33 @@
 
     private record Received(FollowerReport report, long atMs) {}
 
-    private final Map<String, Received> byDistributor = new TreeMap<>();
+    /** Reports in the order of zones, and of distributors within a zone. */
+    private record Key(String zone, String distributor) {
+        static final Comparator<Key> ORDER =
+                Comparator.comparing(Key::zone).thenComparing(Key::distributor);
+    }
+
+    private final Map<Key, Received> received = new TreeMap<>(Key.ORDER);
 
     /**
-     * Takes a report in place of the distributor's last one; {@code nowMs} is any monotonic clock.
+     * Takes a report in place of the distributor's last one for that zone; {@code nowMs} is any
+     * monotonic clock.
      */
     public void take(FollowerReport report, long nowMs) {
-        byDistributor.put(report.distributor(), new Received(report, nowMs));
-        if (byDistributor.size() > MOST) {
-            byDistributor.entrySet().stream()
+        received.put(new Key(report.zone(), report.distributor()), new Received(report, nowMs));
+        if (received.size() > MOST) {
+            received.entrySet().stream()
                     .min(
                             Map.Entry.comparingByValue(
                                     (one, other) -> Long.compare(one.atMs(), other.atMs())))
-                    .ifPresent(oldest -> byDistributor.remove(oldest.getKey()));
+                    .ifPresent(oldest -> received.remove(oldest.getKey()));
         }
     }
 
     /** All zones against this revision; a report of any age is shown, with its age. */
     public List<Zone> zones(long revision, long nowMs) {
         List<Zone> zones = new ArrayList<>();
-        byDistributor.values().forEach(received -> zones.add(zone(received, revision, nowMs)));
+        received.values().forEach(one -> zones.add(zone(one, revision, nowMs)));
         return zones;
     }
 
--- /dev/null
+++ b/coordinator/src/test/java/saltstage/coordinator/configuration/FollowerReportsByZoneTest.java
@@ -0,0 +1,34 @@
+package saltstage.coordinator.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Reports of distributors that serve followers of several zones. */
+class FollowerReportsByZoneTest {
+    private final FollowerReports reports = new FollowerReports();
+
+    private void take(String distributor, String zone, int followers, long nowMs) {
+        reports.take(
+                new FollowerReport(
+                        distributor, zone, 7, Map.of(7L, followers), followers, List.of()),
+                nowMs);
+    }
+
+    @Test
+    void zoneOfAnotherDistributorDoesNotReplaceItsOwn() {
+        take("d-a2", "a2", 5, 0);
+        take("d-a2", "a1", 3, 0); // the followers of a1 while their distributor is gone
+        take("d-a1", "a1", 0, 500);
+        take("d-a2", "a2", 6, 1_000);
+        List<FollowerReports.Zone> zones = reports.zones(7, 2_000);
+        assertEquals(
+                List.of("a1 d-a1 0", "a1 d-a2 3", "a2 d-a2 6"),
+                zones.stream()
+                        .map(one -> one.zone() + " " + one.distributor() + " " + one.confirmed())
+                        .toList());
+        assertEquals(1_000, zones.get(2).reportAgeMs());
+    }
+}
