--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReports.java
@@ -12,7 +12,7 @@
  * where there are too many reports, the one that came longest ago is forgotten. Not thread safe.
  */
 public final class FollowerReports {
-    /** Most distributors whose reports are kept. */
+    /** Most reports that are kept. */
     static final int MOST = 100;
 
     /** A zone as a distributor last told it, against the revision that was asked about. */
