--- a/lab/src/main/java/saltstage/lab/trial/ConfigurationFleet.java
+++ b/lab/src/main/java/saltstage/lab/trial/ConfigurationFleet.java
@@ -56,7 +56,7 @@
     }
 
     private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
     private static String address(FaultProxy link) {
@@ -136,6 +136,9 @@
         for (Proc distributor : distributors.values()) {
             distributor.start();
         }
+        for (String name : distributors.keySet()) {
+            status(name, within);
+        }
         for (Proc process : followers.values()) {
             process.start();
         }
