--- a/relay/src/main/java/saltstage/configuration/ConfigurationLimits.java
+++ b/relay/src/main/java/saltstage/configuration/ConfigurationLimits.java
@@ -26,8 +26,11 @@
     /** Most changes that a history keeps. */
     public static final int CHANGES_KEPT = 4_096;
 
-    /** Most bytes of the changes that a history keeps, by the same estimate. */
-    public static final int BYTES_KEPT = 4 * 1024 * 1024;
+    /**
+     * Most bytes of the changes that a history keeps, by the same estimate: a move of 15,000
+     * shards, and under half of what a snapshot of 59,000 entries takes.
+     */
+    public static final int BYTES_KEPT = 2 * 1024 * 1024;
 
     /** Longest text of a setting, in characters. */
     public static final int SETTING_LENGTH = 2_000;
