Distributor: take followers without a zone, and names as long as relays may have

A relay's settings may leave its zone empty and name it with up to 160 characters; the distributor answered 400 to both.

Such followers count in the distributor's own zone; reports take names of 160. DistributorHandlerTest (11), FollowerReport tests pass.

--- a/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
+++ b/coordinator/src/main/java/saltstage/coordinator/configuration/FollowerReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import saltstage.configuration.ConfigurationLimits;
 
 /**
  * What a distributor tells the leader about the followers of its zone.
@@ -26,7 +27,7 @@
     /** Most revisions that a report counts; what is older than that may be left out. */
     public static final int REVISIONS = 1_000;
 
-    private static final int LONGEST_NAME = 100;
+    private static final int LONGEST_NAME = ConfigurationLimits.IDENTIFIER_LENGTH;
 
     /**
      * A follower that is behind the newest revision of its distributor.
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorHandler.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorHandler.java
@@ -62,6 +62,7 @@
     }
 
     private final String name;
+    private final String zone;
     private final LongSupplier nowMs;
     private final FollowerRegistry registry = new FollowerRegistry(SILENT_AFTER_MS);
     private final SnapshotAdmission admission = new SnapshotAdmission(MOST_SNAPSHOTS, SNAPSHOT_MS);
@@ -77,11 +78,14 @@
      * A handler.
      *
      * @param name the distributor's
+     * @param zone its zone, that followers count in which name none
      * @param held what the distributor has on its disk; copied
      * @param nowMs a monotonic clock, milliseconds
      */
-    public DistributorHandler(String name, ConfigurationView held, LongSupplier nowMs) {
+    public DistributorHandler(
+            String name, String zone, ConfigurationView held, LongSupplier nowMs) {
         this.name = name;
+        this.zone = zone;
         this.nowMs = nowMs;
         view = copy(held);
         history = new ChangeHistory(view.revision(), view.digest());
@@ -193,10 +197,11 @@
     private CompletableFuture<HttpAnswer> changes(ReadRequest.Changes request) {
         long now = nowMs.getAsLong();
         ChangeHistory.Answer answer = after(request);
+        String countedIn = request.zone().isEmpty() ? zone : request.zone();
         if (isVerified(answer)) {
-            registry.confirm(request.follower(), request.zone(), request.after(), now);
+            registry.confirm(request.follower(), countedIn, request.after(), now);
         } else {
-            registry.hear(request.follower(), request.zone(), now);
+            registry.hear(request.follower(), countedIn, now);
         }
         boolean isNewest = answer instanceof ChangeHistory.Changes some && some.changes().isEmpty();
         return isNewest && request.waitMs() > 0
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorProcess.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/DistributorProcess.java
@@ -63,7 +63,10 @@
         directory = new ConfigurationDirectory(settings.dir(), Log::info);
         DistributorHandler handler =
                 new DistributorHandler(
-                        settings.name(), directory.held().view(), DistributorProcess::nowMs);
+                        settings.name(),
+                        settings.zone(),
+                        directory.held().view(),
+                        DistributorProcess::nowMs);
         listener = new DistributorListener(settings.clients(), handler);
         client =
                 new ConfigurationClient(
--- a/coordinator/src/main/java/saltstage/coordinator/distribution/ReadRequest.java
+++ b/coordinator/src/main/java/saltstage/coordinator/distribution/ReadRequest.java
@@ -14,7 +14,11 @@
     /** Paths of the read API begin like this. */
     String PREFIX = "/v1/configuration/";
 
-    /** What comes after a revision. */
+    /**
+     * What comes after a revision.
+     *
+     * @param zone the follower's; empty where it does not say
+     */
     record Changes(long after, long digest, String follower, String zone, long waitMs, int limit)
             implements ReadRequest {}
 
@@ -47,6 +51,9 @@
     }
 
     private static Changes changes(Parameters parameters) throws MalformedException {
+        if (parameters.name("follower").isEmpty()) {
+            throw new MalformedException("'follower' is missing");
+        }
         return new Changes(
                 parameters.revision("after"),
                 ConfigurationJson.digest(parameters.text("digest", ""), "'digest'"),
@@ -67,24 +74,26 @@
                 parameters.revision("revision"),
                 from.isEmpty() ? null : EntryKey.parse(from),
                 (int) parameters.whole("limit", most, most),
-                parameters.text("follower", ""));
+                parameters.name("follower"));
     }
 
     /** The parameters of a query, each checked as it is read. */
     record Parameters(Map<String, List<String>> given) {
         private static final Pattern WHOLE = Pattern.compile("\\d{1,16}");
-        private static final Pattern NAME = Pattern.compile("[!-~]{1,100}");
+        private static final int LONGEST_NAME = ConfigurationLimits.IDENTIFIER_LENGTH;
+        private static final Pattern NAME = Pattern.compile("[!-~]{0," + LONGEST_NAME + "}");
 
         String text(String name, String absent) {
             List<String> values = given.getOrDefault(name, List.of());
             return values.isEmpty() ? absent : values.get(0);
         }
 
+        /** A name; empty where it is absent. */
         String name(String name) throws MalformedException {
             String text = text(name, "");
             if (!NAME.matcher(text).matches()) {
                 throw new MalformedException(
-                        "'" + name + "' takes 1 to 100 visible ASCII characters");
+                        "'" + name + "' takes up to " + LONGEST_NAME + " visible ASCII characters");
             }
             return text;
         }
