Split the replica by job

PeerDirectory knows the peers and admits them, Membership changes the members, LeaderTasks ticks and introduces, Proposer stamps commands, ChangeListeners tell once, ReplicaStatus is what status answers. No behaviour changes.

--- a/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
@@ -18,6 +18,7 @@
 import saltstage.coordinator.group.Codec;
 import saltstage.coordinator.replica.Replica;
 import saltstage.coordinator.replica.ReplicaSettings;
+import saltstage.coordinator.replica.ReplicaStatus;
 import saltstage.coordinator.settings.CoordinatorSettings;
 import saltstage.log.Log;
 import saltstage.net.NettyTransport;
@@ -141,7 +142,7 @@
         /** A leader that leaves hands its place over first: nobody need notice that it is gone. */
         private static void handOver(Replica replica) {
             try {
-                Replica.Status now = replica.status().get(1, java.util.concurrent.TimeUnit.SECONDS);
+                ReplicaStatus now = replica.status().get(1, java.util.concurrent.TimeUnit.SECONDS);
                 String to =
                         now.voters().stream()
                                 .filter(v -> now.links().getOrDefault(v, false))
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/LeaderTasks.java
@@ -0,0 +1,102 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.RaftNode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import saltstage.coordinator.group.GroupCommands;
+import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.model.Command;
+
+/**
+ * What a leader proposes by itself: ticks, which let the group's time pass, and introductions of
+ * members. Everything but {@link #received} is for the engine's thread.
+ */
+final class LeaderTasks {
+    /** The period at which {@link #run} is to be called. */
+    static final Duration CHECK_PERIOD = Duration.ofMillis(200);
+
+    /** Ticks come this seldom while nothing in the state depends on time. */
+    private static final Duration IDLE_TICK_PERIOD = Duration.ofSeconds(2);
+
+    /** A heartbeat that is older says nothing of its peer's clock any more. */
+    private static final long MAX_HEARTBEAT_AGE_MS = 10_000;
+
+    private final ReplicaSettings settings;
+    private final PeerLinks.Hello self;
+    private final RaftNode node;
+    private final PeerDirectory directory;
+    private final Proposer proposer;
+    private final Map<String, ReceivedHeartbeat> heartbeats = new ConcurrentHashMap<>();
+    private long lastTickNanos;
+
+    private record ReceivedHeartbeat(PeerLinks.Heartbeat heartbeat, long atNanos) {}
+
+    LeaderTasks(
+            ReplicaSettings settings,
+            PeerLinks.Hello self,
+            RaftNode node,
+            PeerDirectory directory,
+            Proposer proposer) {
+        this.settings = settings;
+        this.self = self;
+        this.node = node;
+        this.directory = directory;
+        this.proposer = proposer;
+    }
+
+    /** A peer's heartbeat has come; on any thread. */
+    void received(String from, PeerLinks.Heartbeat heartbeat) {
+        heartbeats.put(from, new ReceivedHeartbeat(heartbeat, System.nanoTime()));
+    }
+
+    /** Proposes what is due; called each {@link #CHECK_PERIOD} while this replica leads. */
+    void run(GroupState state) {
+        long now = System.nanoTime();
+        boolean timed = state.leases().nextDue() != Long.MAX_VALUE || state.windows().alive();
+        long period = (timed ? CHECK_PERIOD : IDLE_TICK_PERIOD).toNanos();
+        if (now - lastTickNanos >= period - CHECK_PERIOD.toNanos() / 2) {
+            lastTickNanos = now;
+            directory
+                    .introductions(Member.sortedNames(node.getEffectiveMembers().getMembers()))
+                    .forEach(this::propose);
+            introduceSelf();
+            tick(now);
+        }
+    }
+
+    private void introduceSelf() {
+        if (directory.member(settings.name()) == null) {
+            propose(
+                    new GroupCommands.Introduce(
+                            settings.name(), self.disk(), self.peers(), self.clients()));
+        }
+    }
+
+    /** Tells the group all clocks and feature levels that are known here. */
+    private void tick(long nowNanos) {
+        Map<String, Long> walls =
+                new TreeMap<>(Map.of(settings.name(), settings.wall().getAsLong()));
+        Map<String, Integer> speaks = new TreeMap<>(Map.of(settings.name(), settings.speaks()));
+        heartbeats.forEach(
+                (name, received) -> {
+                    long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - received.atNanos());
+                    if (ageMs < MAX_HEARTBEAT_AGE_MS) {
+                        walls.put(name, received.heartbeat().wallMs() + ageMs);
+                        speaks.put(name, received.heartbeat().speaks());
+                    }
+                });
+        propose(
+                new GroupCommands.Tick(
+                        walls,
+                        speaks,
+                        Member.sortedNames(node.getCommittedMembers().getVotingMembers())));
+    }
+
+    private void propose(Command command) {
+        proposer.propose(command)
+                .exceptionally(failed -> null); // the next check sees whether it is still due
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Member.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Member.java
@@ -2,6 +2,8 @@
 
 import io.microraft.RaftEndpoint;
 import java.io.Serializable;
+import java.util.Collection;
+import java.util.List;
 
 /**
  * A replica as the consensus engine names it: by its name alone; where it is reached is known
@@ -17,4 +19,14 @@
     public String toString() {
         return id;
     }
+
+    /** The name of a member. */
+    static String name(RaftEndpoint endpoint) {
+        return (String) endpoint.getId();
+    }
+
+    /** The names of members, sorted. */
+    static List<String> sortedNames(Collection<RaftEndpoint> endpoints) {
+        return endpoints.stream().map(Member::name).sorted().toList();
+    }
 }
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Membership.java
@@ -0,0 +1,97 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.Ordered;
+import io.microraft.RaftNode;
+import io.microraft.report.RaftNodeReport;
+import java.util.concurrent.CompletableFuture;
+import saltstage.coordinator.group.GroupCommands;
+
+/** Changes of the group's members, by its leader. */
+final class Membership {
+    /** A learner that is this many entries or fewer behind is made a voter. */
+    private static final int MAX_LAG_TO_VOTE = 200;
+
+    private static final String LEARNS = "learns";
+    private static final String VOTES = "votes";
+    private static final String GONE = "gone";
+
+    private final RaftNode node;
+    private final PeerDirectory directory;
+    private final Proposer proposer;
+
+    Membership(RaftNode node, PeerDirectory directory, Proposer proposer) {
+        this.node = node;
+        this.directory = directory;
+        this.proposer = proposer;
+    }
+
+    /** Takes a member in, first as one that only learns, later as one that votes. */
+    CompletableFuture<String> join(String name, String disk, String peers, String clients) {
+        Member member = new Member(name);
+        if (directory.isOnOtherDisk(name, disk)) {
+            String why =
+                    Identity.OTHER_DISK
+                            + ": the name "
+                            + name
+                            + " is taken, or was: join under one of its own";
+            return CompletableFuture.failedFuture(new IllegalArgumentException(why));
+        }
+        var members = node.getCommittedMembers();
+        if (members.getVotingMembers().contains(member)) {
+            return CompletableFuture.completedFuture(VOTES);
+        }
+        if (members.getMembers().contains(member)) {
+            return promote(member);
+        }
+        return proposer.propose(new GroupCommands.Introduce(name, disk, peers, clients))
+                .thenCompose(
+                        done ->
+                                node.changeMembership(
+                                        member,
+                                        MembershipChangeMode.ADD_LEARNER,
+                                        members.getLogIndex()))
+                .thenApply(done -> LEARNS);
+    }
+
+    /** Makes a learner a voter once it has caught up. */
+    private CompletableFuture<String> promote(Member member) {
+        return node.getReport()
+                .thenCompose(
+                        report ->
+                                lag(report.getResult(), member) > MAX_LAG_TO_VOTE
+                                        ? CompletableFuture.completedFuture(LEARNS)
+                                        : makeVoter(member));
+    }
+
+    private static long lag(RaftNodeReport report, Member member) {
+        long matched = report.getLog().getFollowerMatchIndices().getOrDefault(member, 0L);
+        return report.getLog().getLastLogOrSnapshotIndex() - matched;
+    }
+
+    private CompletableFuture<String> makeVoter(Member member) {
+        return node.changeMembership(
+                        member,
+                        MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
+                        node.getCommittedMembers().getLogIndex())
+                .thenApply(done -> VOTES);
+    }
+
+    /** Lets a member go: dead, or leaving. */
+    CompletableFuture<String> leave(String name) {
+        Member member = new Member(name);
+        var members = node.getCommittedMembers();
+        CompletableFuture<?> removed =
+                members.getMembers().contains(member)
+                        ? node.changeMembership(
+                                member, MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex())
+                        : CompletableFuture.completedFuture(null);
+        return removed.thenCompose(done -> proposer.propose(new GroupCommands.Forget(name)))
+                .thenApply(done -> GONE);
+    }
+
+    /** Hands leadership to a member. */
+    CompletableFuture<Object> transfer(String to) {
+        return node.transferLeadership(new Member(to)).thenApply(Ordered::getResult);
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Proposer.java
@@ -0,0 +1,43 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.Ordered;
+import io.microraft.RaftNode;
+import java.util.concurrent.CompletableFuture;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.group.Proposal;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.Reply;
+
+/** Stamps commands with this replica's monotonic clock and gives them to the engine. */
+final class Proposer {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final RaftNode node;
+    private final String process;
+    private final double clockRate;
+
+    /**
+     * A proposer.
+     *
+     * @param process names this run of the process: stamps of two runs are not compared
+     * @param clockRate how fast the monotonic clock goes in stamps; 1 in service
+     */
+    Proposer(RaftNode node, String process, double clockRate) {
+        this.node = node;
+        this.process = process;
+        this.clockRate = clockRate;
+    }
+
+    /** Proposes a client's command; the reply comes once a majority has it and it is applied. */
+    CompletableFuture<Reply> propose(String client, long seq, Command command) {
+        String epoch = process + "/" + node.getTerm().getTerm();
+        long stampMs = (long) (System.nanoTime() / NANOS_PER_MS * clockRate);
+        byte[] entry = Codec.entry(new Proposal(client, seq, epoch, stampMs, command));
+        return node.<Reply>replicate(entry).thenApply(Ordered::getResult);
+    }
+
+    /** Proposes a command of the group itself, in no session. */
+    CompletableFuture<Reply> propose(Command command) {
+        return propose("", 0, command);
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -1,30 +1,21 @@
 package saltstage.coordinator.replica;
 
-import io.microraft.MembershipChangeMode;
 import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
+import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
-import io.microraft.report.RaftNodeReport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import saltstage.coordinator.group.Codec;
-import saltstage.coordinator.group.GroupCommands;
 import saltstage.coordinator.group.GroupState;
-import saltstage.coordinator.group.Proposal;
 import saltstage.coordinator.model.Command;
 import saltstage.coordinator.model.Reply;
 import saltstage.log.Log;
@@ -37,33 +28,13 @@
  * must ends its process rather than go on with a state that nobody knows.
  */
 public final class Replica implements AutoCloseable, PeerLinks.Events {
-    private static final Duration CHECK_PERIOD = Duration.ofMillis(200);
-    private static final Duration IDLE_TICK_PERIOD = Duration.ofSeconds(2);
-    private static final int MAX_LISTENERS = 20_000;
-    private static final int MAX_LAG_TO_VOTE = 200;
+    /** Exit code where the store fails: EX_IOERR of sysexits.h. */
+    private static final int EXIT_STORE_FAILED = 74;
 
-    /** How a replica stands, by itself. */
-    public record Status(
-            String name,
-            String group,
-            String role,
-            int term,
-            String leader,
-            String leaderClients,
-            List<String> voters,
-            List<String> learners,
-            List<String> first,
-            long commitIndex,
-            long lastIndex,
-            long snapshotIndex,
-            int level,
-            int speaks,
-            long groupNow,
-            long day,
-            int leases,
-            int sessions,
-            Map<String, Boolean> links,
-            Map<String, GroupState.MemberRow> members) {}
+    /** Exit code where the group refuses this disk: EX_CONFIG of sysexits.h. */
+    private static final int EXIT_REFUSED = 78;
+
+    private static final int TERMINATION_TIMEOUT_SECONDS = 3;
 
     /** Ends the process: code and why. */
     public interface Fatal {
@@ -81,18 +52,13 @@
     private final Fatal fatal;
     private final Transport transport;
     private final Store store;
-    private final String process =
-            Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
-    private final Map<String, ReceivedHeartbeat> heartbeats = new ConcurrentHashMap<>();
-    private final Map<String, PeerLinks.Hello> hellos = new ConcurrentHashMap<>();
-    private final List<Runnable> waiting = new ArrayList<>();
-    private volatile Map<String, GroupState.MemberRow> known = Map.of();
-    private volatile int level;
-    private long lastTick;
+    private final ChangeListeners listeners = new ChangeListeners();
+    private final PeerDirectory directory;
+    private final Proposer proposer;
+    private final Membership membership;
+    private final LeaderTasks leaderTasks;
     private volatile boolean closed;
 
-    private record ReceivedHeartbeat(PeerLinks.Heartbeat heartbeat, long atNanos) {}
-
     /** Starts it; a store that belongs to another group, name or disk is refused. */
     public Replica(ReplicaSettings settings, Store store, Transport transport, Fatal fatal)
             throws IOException {
@@ -103,26 +69,22 @@
         identity = Identity.of(store, settings);
         codec = new RaftCodec(identity.group());
         thread = new RaftThread("replica", settings.speed());
-        machine = new ReplicaStateMachine(fatal, this::changed);
-        LogStore log = new LogStore(store, why -> fatal.end(74, "store: " + why.getMessage()));
-        links =
-                new PeerLinks(
-                        transport,
-                        codec,
-                        ownHello(),
-                        this,
-                        this::address,
-                        () ->
-                                new PeerLinks.Heartbeat(
-                                        settings.wall().getAsLong(), settings.speaks()));
-        node = engine(log);
+        machine = new ReplicaStateMachine(fatal, listeners::changed);
+        directory = new PeerDirectory(settings, identity.group());
+        String process = Long.toHexString(System.nanoTime()) + "-" + ProcessHandle.current().pid();
+        PeerLinks.Hello self = hello(process);
+        links = new PeerLinks(transport, codec, self, this, directory::address, this::heartbeat);
+        node = engine();
+        proposer = new Proposer(node, process, settings.clockRate());
+        membership = new Membership(node, directory, proposer);
+        leaderTasks = new LeaderTasks(settings, self, node, directory, proposer);
         links.listen(settings.peers());
-        names().forEach(links::keep);
+        members().forEach(links::keep);
         node.start().join();
-        thread.every(this::periodicCheck, CHECK_PERIOD.toNanos());
+        thread.every(this::periodicCheck, LeaderTasks.CHECK_PERIOD.toNanos());
     }
 
-    private PeerLinks.Hello ownHello() {
+    private PeerLinks.Hello hello(String process) {
         return new PeerLinks.Hello(
                 identity.group(),
                 settings.name(),
@@ -133,13 +95,24 @@
                 text(settings.clients()));
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private PeerLinks.Heartbeat heartbeat() {
+        return new PeerLinks.Heartbeat(settings.wall().getAsLong(), settings.speaks());
+    }
+
     /** The consensus engine on what the log holds, or on the group's first members. */
-    private RaftNode engine(LogStore log) throws IOException {
+    private RaftNode engine() throws IOException {
+        LogStore log =
+                new LogStore(
+                        store, why -> fatal.end(EXIT_STORE_FAILED, "store: " + why.getMessage()));
         RestoredRaftState restored = log.restore();
         RaftNode.RaftNodeBuilder builder =
                 RaftNode.newBuilder()
                         .setGroupId(identity.group())
-                        .setConfig(config())
+                        .setConfig(engineConfig())
                         .setExecutor(thread)
                         .setTransport(links)
                         .setStateMachine(machine)
@@ -155,7 +128,7 @@
         return builder.build();
     }
 
-    private RaftConfig config() {
+    private RaftConfig engineConfig() {
         return RaftConfig.newBuilder()
                 .setLeaderElectionTimeoutMillis(1_000)
                 .setLeaderHeartbeatPeriodSecs(1)
@@ -167,75 +140,18 @@
                 .build();
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
-    private Collection<String> names() {
-        return node.getEffectiveMembers().getMembers().stream()
-                .map(m -> (String) m.getId())
-                .toList();
+    private Collection<String> members() {
+        return Member.sortedNames(node.getEffectiveMembers().getMembers());
     }
 
-    /** Where a peer is reached: by the settings of this one, else where it says that it is. */
-    private InetSocketAddress address(String peer) {
-        InetSocketAddress told = settings.reach().get(peer);
-        if (told != null) {
-            return told;
-        }
-        GroupState.MemberRow row = known.get(peer);
-        if (row == null || row.peers() == null) {
-            return null;
-        }
-        int colon = row.peers().lastIndexOf(':');
-        return new InetSocketAddress(
-                row.peers().substring(0, colon),
-                Integer.parseInt(row.peers().substring(colon + 1)));
-    }
-
-    // ---- what peers say
-
     @Override
     public String hello(PeerLinks.Hello who) {
-        if (!identity.group().equals(who.group())) {
-            return "it is of group " + who.group() + ", this is " + identity.group();
-        }
-        GroupState.MemberRow row = known.get(who.from());
-        if (row != null && !row.disk().equals(who.disk())) {
-            return Identity.OTHER_DISK
-                    + ": "
-                    + who.from()
-                    + " was on another disk; remove it, and let the new one join under a name of its own";
-        }
-        if (who.speaks() < level) {
-            return "its build knows level " + who.speaks() + ", the group works at " + level;
-        }
-        hellos.put(who.from(), who);
-        return null;
-    }
-
-    /**
-     * Peers have mostly said who they are before anybody led: the leader tells the group when it
-     * can.
-     */
-    private void introduce() {
-        for (PeerLinks.Hello who : hellos.values()) {
-            GroupState.MemberRow row = known.get(who.from());
-            if (names().contains(who.from())
-                    && (row == null
-                            || row.disk().equals(who.disk())
-                                    && !(who.peers().equals(row.peers())
-                                            && who.clients().equals(row.clients())))) {
-                own(
-                        new GroupCommands.Introduce(
-                                who.from(), who.disk(), who.peers(), who.clients()));
-            }
-        }
+        return directory.admit(who);
     }
 
     @Override
     public void message(String from, byte[] bytes) throws IOException {
-        var message = codec.message(bytes);
+        RaftMessage message = codec.message(bytes);
         if (!from.equals(message.getSender().getId())) {
             throw new IOException(from + " sends what " + message.getSender().getId() + " should");
         }
@@ -243,111 +159,56 @@
     }
 
     @Override
-    public void heartbeat(String from, PeerLinks.Heartbeat told) {
-        heartbeats.put(from, new ReceivedHeartbeat(told, System.nanoTime()));
+    public void heartbeat(String from, PeerLinks.Heartbeat heartbeat) {
+        leaderTasks.received(from, heartbeat);
     }
 
     @Override
     public void refused(String by, String why) {
         Log.warn("peer.refuses", "peer", by, "why", why);
         if (why.startsWith(Identity.OTHER_DISK)) {
-            fatal.end(78, "refused by " + by + ": " + why);
+            fatal.end(EXIT_REFUSED, "refused by " + by + ": " + why);
         }
     }
 
-    // ---- the leader's business, on the engine's thread
-
-    /** Whether this one leads, as far as it knows. */
-    public boolean leads() {
-        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
-        return leader != null && settings.name().equals(leader.getId());
-    }
-
+    /**
+     * On the engine's thread: takes over the members that the state names, and leads if it does.
+     */
     private void periodicCheck() {
         if (closed) {
             return;
         }
-        thread.every(this::periodicCheck, CHECK_PERIOD.toNanos());
-        known = Map.copyOf(machine.state().members());
-        level = machine.state().level();
-        links.keepOnly(names());
-        long now = System.nanoTime();
-        boolean timed =
-                machine.state().leases().nextDue() != Long.MAX_VALUE
-                        || machine.state().windows().alive();
-        if (leads()
-                && now - lastTick
-                        >= (timed ? CHECK_PERIOD : IDLE_TICK_PERIOD).toNanos()
-                                - CHECK_PERIOD.toNanos() / 2) {
-            lastTick = now;
-            introduce();
-            tick(now);
-        }
-    }
-
-    private void tick(long now) {
-        Map<String, Long> walls =
-                new TreeMap<>(Map.of(settings.name(), settings.wall().getAsLong()));
-        Map<String, Integer> speaks = new TreeMap<>(Map.of(settings.name(), settings.speaks()));
-        heartbeats.forEach(
-                (name, received) -> {
-                    long age = TimeUnit.NANOSECONDS.toMillis(now - received.atNanos());
-                    if (age < 10_000) {
-                        walls.put(name, received.heartbeat().wallMs() + age);
-                        speaks.put(name, received.heartbeat().speaks());
-                    }
-                });
-        if (!known.containsKey(settings.name())) {
-            own(
-                    new GroupCommands.Introduce(
-                            settings.name(),
-                            identity.disk(),
-                            text(settings.peers()),
-                            text(settings.clients())));
+        thread.every(this::periodicCheck, LeaderTasks.CHECK_PERIOD.toNanos());
+        directory.update(machine.state());
+        links.keepOnly(members());
+        if (leads()) {
+            leaderTasks.run(machine.state());
         }
-        own(
-                new GroupCommands.Tick(
-                        walls,
-                        speaks,
-                        node.getCommittedMembers().getVotingMembers().stream()
-                                .map(m -> (String) m.getId())
-                                .sorted()
-                                .toList()));
     }
 
-    private void own(Command command) {
-        propose("", 0, command)
-                .exceptionally(failed -> null); // the next look sees whether it is still due
+    /** Whether this one leads, as far as it knows. */
+    public boolean leads() {
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+        return leader != null && settings.name().equals(leader.getId());
     }
 
-    private void changed() {
-        synchronized (waiting) {
-            if (waiting.isEmpty()) {
-                return;
-            }
-            List<Runnable> now = List.copyOf(waiting);
-            waiting.clear();
-            now.forEach(Runnable::run);
-        }
+    /** Where the leader takes calls, or null where none is known. */
+    public String leaderClients() {
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+        return leader == null ? null : directory.clientsOf(Member.name(leader));
     }
 
-    // ---- what clients want
-
     /**
-     * Is told once, on the engine's thread, when the state next changes by itself or by somebody.
+     * Tells a listener once, on the engine's thread, when the state next changes by itself or by
+     * somebody; false where too many listen.
      */
-    public boolean onChange(Runnable told) {
-        synchronized (waiting) {
-            return waiting.size() < MAX_LISTENERS && waiting.add(told);
-        }
+    public boolean onChange(Runnable listener) {
+        return listeners.add(listener);
     }
 
     /** Proposes a command; the reply comes once it is carried out by a majority. */
     public CompletableFuture<Reply> propose(String client, long seq, Command command) {
-        String epoch = process + "/" + node.getTerm().getTerm();
-        long stamp = (long) (System.nanoTime() / 1_000_000 * settings.clockRate());
-        byte[] entry = Codec.entry(new Proposal(client, seq, epoch, stamp, command));
-        return node.<Reply>replicate(entry).thenApply(Ordered::getResult);
+        return proposer.propose(client, seq, command);
     }
 
     /** Reads the state: as the group has it now, or as it was here some time ago. */
@@ -360,122 +221,33 @@
                 .thenApply(Ordered::getResult);
     }
 
-    /** Where the leader takes calls, or null where none is known. */
-    public String leaderClients() {
-        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
-        if (leader == null) {
-            return null;
-        }
-        GroupState.MemberRow row = known.get((String) leader.getId());
-        return row == null ? settings.clientsOf().get((String) leader.getId()) : row.clients();
-    }
-
     /** Hands leadership to a member. */
     public CompletableFuture<Object> transfer(String to) {
-        return node.transferLeadership(new Member(to)).thenApply(Ordered::getResult);
+        return membership.transfer(to);
     }
 
     /** Takes a member in, first as one that only learns, later as one that votes. */
     public CompletableFuture<String> join(String name, String disk, String peers, String clients) {
-        Member member = new Member(name);
-        GroupState.MemberRow row = known.get(name);
-        if (row != null && !row.disk().equals(disk)) {
-            return CompletableFuture.failedFuture(
-                    new IllegalArgumentException(
-                            Identity.OTHER_DISK
-                                    + ": the name "
-                                    + name
-                                    + " is taken, or was: join under one of its own"));
-        }
-        var members = node.getCommittedMembers();
-        if (members.getVotingMembers().contains(member)) {
-            return CompletableFuture.completedFuture("votes");
-        }
-        if (!members.getMembers().contains(member)) {
-            return propose("", 0, new GroupCommands.Introduce(name, disk, peers, clients))
-                    .thenCompose(
-                            done ->
-                                    node.changeMembership(
-                                            member,
-                                            MembershipChangeMode.ADD_LEARNER,
-                                            members.getLogIndex()))
-                    .thenApply(done -> "learns");
-        }
-        return node.getReport()
-                .thenCompose(
-                        report -> {
-                            RaftNodeReport now = report.getResult();
-                            long at =
-                                    now.getLog().getFollowerMatchIndices().getOrDefault(member, 0L);
-                            if (now.getLog().getLastLogOrSnapshotIndex() - at > MAX_LAG_TO_VOTE) {
-                                return CompletableFuture.completedFuture("learns");
-                            }
-                            return node.changeMembership(
-                                            member,
-                                            MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER,
-                                            node.getCommittedMembers().getLogIndex())
-                                    .thenApply(done -> "votes");
-                        });
+        return membership.join(name, disk, peers, clients);
     }
 
     /** Lets a member go: dead, or leaving. */
     public CompletableFuture<String> leave(String name) {
-        Member member = new Member(name);
-        var members = node.getCommittedMembers();
-        CompletableFuture<?> out =
-                members.getMembers().contains(member)
-                        ? node.changeMembership(
-                                member, MembershipChangeMode.REMOVE_MEMBER, members.getLogIndex())
-                        : CompletableFuture.completedFuture(null);
-        return out.thenCompose(done -> propose("", 0, new GroupCommands.Forget(name)))
-                .thenApply(done -> "gone");
+        return membership.leave(name);
     }
 
     /** How it stands. */
-    public CompletableFuture<Status> status() {
+    public CompletableFuture<ReplicaStatus> status() {
         return node.getReport()
                 .thenApplyAsync(
-                        report -> { // the state belongs to the engine's thread
-                            RaftNodeReport now = report.getResult();
-                            GroupState state = machine.state();
-                            List<String> voters =
-                                    now.getCommittedMembers().getVotingMembers().stream()
-                                            .map(m -> (String) m.getId())
-                                            .sorted()
-                                            .toList();
-                            List<String> learners =
-                                    now.getCommittedMembers().getMembers().stream()
-                                            .map(m -> (String) m.getId())
-                                            .filter(m -> !voters.contains(m))
-                                            .sorted()
-                                            .toList();
-                            RaftEndpoint leader = now.getTerm().getLeaderEndpoint();
-                            return new Status(
-                                    settings.name(),
-                                    identity.group(),
-                                    now.getRole().name().toLowerCase(),
-                                    now.getTerm().getTerm(),
-                                    leader == null ? null : (String) leader.getId(),
-                                    leaderClients(),
-                                    voters,
-                                    learners,
-                                    now.getInitialMembers().getMembers().stream()
-                                            .map(m -> (String) m.getId())
-                                            .sorted()
-                                            .toList(),
-                                    now.getLog().getCommitIndex(),
-                                    now.getLog().getLastLogOrSnapshotIndex(),
-                                    now.getLog().getLastSnapshotIndex(),
-                                    state.level(),
-                                    settings.speaks(),
-                                    state.time().now(),
-                                    state.time().day(),
-                                    state.leases().size(),
-                                    state.sessions(),
-                                    links.up(),
-                                    new TreeMap<>(state.members()));
-                        },
-                        thread::execute);
+                        report ->
+                                ReplicaStatus.of(
+                                        settings,
+                                        report.getResult(),
+                                        machine.state(),
+                                        leaderClients(),
+                                        links.up()),
+                        thread::execute); // the state belongs to the engine's thread
     }
 
     /** This replica's disk. */
@@ -487,7 +259,7 @@
     public void close() throws IOException {
         closed = true;
         node.terminate()
-                .completeOnTimeout(null, 3, TimeUnit.SECONDS)
+                .completeOnTimeout(null, TERMINATION_TIMEOUT_SECONDS, TimeUnit.SECONDS)
                 .exceptionally(any -> null)
                 .join();
         links.end();
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/ReplicaStatus.java
@@ -0,0 +1,77 @@
+package saltstage.coordinator.replica;
+
+import io.microraft.RaftEndpoint;
+import io.microraft.report.RaftNodeReport;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import saltstage.coordinator.group.GroupState;
+
+/**
+ * How a replica stands, by itself. The component names are part of the API's JSON.
+ *
+ * @param leaderClients where the leader takes calls as HOST:PORT, or null
+ * @param first who the group began with
+ * @param speaks the highest feature level that this replica admits to
+ * @param groupNow group time in milliseconds
+ * @param day the group's time of day, in milliseconds since 1970
+ * @param links whether the link to each peer is up
+ */
+public record ReplicaStatus(
+        String name,
+        String group,
+        String role,
+        int term,
+        String leader,
+        String leaderClients,
+        List<String> voters,
+        List<String> learners,
+        List<String> first,
+        long commitIndex,
+        long lastIndex,
+        long snapshotIndex,
+        int level,
+        int speaks,
+        long groupNow,
+        long day,
+        int leases,
+        int sessions,
+        Map<String, Boolean> links,
+        Map<String, GroupState.MemberRow> members) {
+
+    /** The status by the engine's report and the state, both read on the engine's thread. */
+    static ReplicaStatus of(
+            ReplicaSettings settings,
+            RaftNodeReport report,
+            GroupState state,
+            String leaderClients,
+            Map<String, Boolean> links) {
+        RaftEndpoint leader = report.getTerm().getLeaderEndpoint();
+        List<String> voters = Member.sortedNames(report.getCommittedMembers().getVotingMembers());
+        List<String> learners =
+                Member.sortedNames(report.getCommittedMembers().getMembers()).stream()
+                        .filter(name -> !voters.contains(name))
+                        .toList();
+        return new ReplicaStatus(
+                settings.name(),
+                settings.group(),
+                report.getRole().name().toLowerCase(),
+                report.getTerm().getTerm(),
+                leader == null ? null : Member.name(leader),
+                leaderClients,
+                voters,
+                learners,
+                Member.sortedNames(report.getInitialMembers().getMembers()),
+                report.getLog().getCommitIndex(),
+                report.getLog().getLastLogOrSnapshotIndex(),
+                report.getLog().getLastSnapshotIndex(),
+                state.level(),
+                settings.speaks(),
+                state.time().now(),
+                state.time().day(),
+                state.leases().size(),
+                state.sessions(),
+                links,
+                new TreeMap<>(state.members()));
+    }
+}
