--- a/lab/src/main/java/saltstage/lab/trial/DemoFleetCommand.java
+++ b/lab/src/main/java/saltstage/lab/trial/DemoFleetCommand.java
@@ -109,9 +109,9 @@
     private Window propose(GroupClient client, String region) throws IOException, InterruptedException {
         long now = System.currentTimeMillis();
         List<String> nodes = regions.get(region).seen().nodes().subList(0, NODES - 1);
-        Reply reply = client.send(new WindowCommands.Propose(new WindowRequest(region, nodes, DRAIN_MS, WORK_MS,
-            WARM_MS, now, now + 600_000, 0, false, false, List.of(), List.of(), "demo",
-            "new kernel")), CALL).reply();
+        WindowRequest request = new WindowRequest(region, nodes, DRAIN_MS, WORK_MS, WARM_MS, now,
+            now + 600_000, 0, false, false, List.of(), List.of(), "demo", "new kernel");
+        Reply reply = client.send(new WindowCommands.Propose(request), CALL).reply();
         if (reply instanceof WindowReplies.Planned planned) {
             return planned.windows().get(0);
         }
