Share refusals, exit codes and requests among the coordinator's commands

Each command class printed refusals and chose exit codes for itself, and asked the API its own way.

Group.send throws a typed RefusedException, which the command line turns into the reason and exit code 1; ExitCode names the codes; Group.get and post ask the API; HeldLease holds the options that renew and release share; HostPort writes addresses in one place of four. Output and exit codes stay.

--- a/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AdviceCommand.java
@@ -36,36 +36,27 @@
     private AdviceCommand() {}
 
     private static int decide(Group group, long id, boolean accept) throws Exception {
-        Reply reply =
-                group.client()
-                        .send(
-                                new AdviceCommands.Decide(
-                                        id, accept, System.getProperty("user.name")),
-                                group.within())
-                        .reply();
-        if (reply instanceof Refused no) {
-            System.err.println("saltstage: " + no.why());
-            return 1;
-        }
+        String by = System.getProperty("user.name");
+        Reply reply = group.send(new AdviceCommands.Decide(id, accept, by));
         group.print(reply, id + ": " + (accept ? "accepted" : "refused"));
-        return 0;
+        return ExitCode.OK;
     }
 
     /** What was said. */
     @Command(
             name = "list",
             aliases = "history",
-            description = "Shows recommendations and what became of" + " them.",
+            description = "Shows recommendations and what became of them.",
             mixinStandardHelpOptions = true)
     static final class Show implements Callable<Integer> {
         @CommandLine.Mixin private Group group;
 
         @Override
         public Integer call() throws Exception {
-            JsonNode read = group.client().get("/v1/advice", group.within());
+            JsonNode read = group.get("/v1/advice");
             if (group.json()) {
                 System.out.println(read);
-                return 0;
+                return ExitCode.OK;
             }
             System.out.println(read.path("book").path("why").asText());
             for (JsonNode row : read.path("book").path("rows")) {
@@ -84,7 +75,7 @@
                         move.path("confidence").asDouble(),
                         move.path("why").asText());
             }
-            return 0;
+            return ExitCode.OK;
         }
     }
 
--- a/coordinator/src/main/java/saltstage/coordinator/command/AgentCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/AgentCommand.java
@@ -38,6 +38,6 @@
                     .addShutdownHook(new Thread(leases::close)); // a successor need not wait
             new Agent(settings, group.client(), leases).run();
         }
-        return 0;
+        return ExitCode.OK;
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/ClusterCommand.java
@@ -2,12 +2,17 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -15,7 +20,9 @@
 import saltstage.coordinator.api.ApiHandler;
 import saltstage.coordinator.api.HttpListener;
 import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
 import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.model.HostPort;
 import saltstage.coordinator.replica.Replica;
 import saltstage.coordinator.replica.ReplicaSettings;
 import saltstage.coordinator.replica.ReplicaStatus;
@@ -42,6 +49,13 @@
 final class ClusterCommand {
     private ClusterCommand() {}
 
+    private static int changeMember(Group group, String path, String field, String member)
+            throws Exception {
+        JsonNode response = group.post(path, field, member);
+        group.print(response, member + ": " + response.path("state").asText());
+        return ExitCode.OK;
+    }
+
     /** One replica. */
     @Command(
             name = "serve",
@@ -106,7 +120,7 @@
             } finally {
                 stopped.countDown();
             }
-            return 0;
+            return ExitCode.OK;
         }
 
         /** Where a new member is heard, or null for one that the settings name. */
@@ -142,19 +156,17 @@
         /** A leader that leaves hands its place over first: nobody need notice that it is gone. */
         private static void handOver(Replica replica) {
             try {
-                ReplicaStatus now = replica.status().get(1, java.util.concurrent.TimeUnit.SECONDS);
+                ReplicaStatus now = replica.status().get(1, TimeUnit.SECONDS);
                 String to =
                         now.voters().stream()
                                 .filter(v -> now.links().getOrDefault(v, false))
                                 .findFirst()
                                 .orElse(null);
                 if (now.name().equals(now.leader()) && to != null) {
-                    replica.transfer(to).get(2, java.util.concurrent.TimeUnit.SECONDS);
+                    replica.transfer(to).get(2, TimeUnit.SECONDS);
                     Log.info("replica.handed-over", "to", to);
                 }
-            } catch (InterruptedException
-                    | java.util.concurrent.ExecutionException
-                    | java.util.concurrent.TimeoutException notNow) {
+            } catch (InterruptedException | ExecutionException | TimeoutException notNow) {
                 Log.warn("replica.kept-lead", "why", notNow.toString());
             }
         }
@@ -163,15 +175,17 @@
                 throws InterruptedException, MalformedException, IOException {
             GroupClient group =
                     new GroupClient(
-                            read.members().values().stream().map(at -> text(at.clients())).toList(),
-                            saltstage.coordinator.client.Ticker.SYSTEM);
+                            read.members().values().stream()
+                                    .map(at -> HostPort.of(at.clients()))
+                                    .toList(),
+                            Ticker.SYSTEM);
             JsonNode body =
                     Codec.json()
                             .createObjectNode()
                             .put("name", name)
                             .put("disk", disk)
-                            .put("peers", text(mine.peers()))
-                            .put("clients", text(mine.clients()));
+                            .put("peers", HostPort.of(mine.peers()))
+                            .put("clients", HostPort.of(mine.clients()));
             for (String state = ""; !state.equals("votes"); Thread.sleep(JOIN_AGAIN.toMillis())) {
                 String now =
                         group.post("/v1/join", body, Duration.ofSeconds(30)).path("state").asText();
@@ -181,10 +195,6 @@
                 state = now;
             }
         }
-
-        private static String text(InetSocketAddress at) {
-            return at.getHostString() + ":" + at.getPort();
-        }
     }
 
     /** How each stands. */
@@ -193,51 +203,56 @@
             description = "How each replica stands; exit 1 where no majority does.",
             mixinStandardHelpOptions = true)
     static final class Status implements Callable<Integer> {
+        private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
+
         @CommandLine.Mixin private Group group;
 
         @Override
         public Integer call() throws Exception {
+            Map<String, Object> all = new LinkedHashMap<>();
             int answers = 0;
-            String leader = null;
-            java.util.Map<String, Object> all = new java.util.LinkedHashMap<>();
+            boolean led = false;
             for (String place : group.places()) {
                 try {
-                    JsonNode one =
-                            new GroupClient(
-                                            java.util.List.of(place),
-                                            saltstage.coordinator.client.Ticker.SYSTEM)
-                                    .get("/v1/status", Duration.ofSeconds(2));
-                    all.put(place, one);
+                    JsonNode status =
+                            new GroupClient(List.of(place), Ticker.SYSTEM)
+                                    .get("/v1/status", STATUS_TIMEOUT);
+                    all.put(place, status);
                     answers++;
-                    leader =
-                            one.path("role").asText().equals("leader")
-                                    ? one.path("name").asText()
-                                    : leader;
-                    if (!group.json()) {
-                        System.out.printf(
-                                "%-8s %-9s term %d, commit %d of %d, snapshot %d, level %d of %d,"
-                                        + " voters %s%n",
-                                one.path("name").asText(),
-                                one.path("role").asText(),
-                                one.path("term").asInt(),
-                                one.path("commitIndex").asLong(),
-                                one.path("lastIndex").asLong(),
-                                one.path("snapshotIndex").asLong(),
-                                one.path("level").asInt(),
-                                one.path("speaks").asInt(),
-                                one.path("voters"));
-                    }
+                    led |= status.path("role").asText().equals("leader");
+                    print(group, line(status));
                 } catch (GroupClient.Unreachable silent) {
-                    all.put(place, Group.pairs("error", silent.getMessage()));
-                    if (!group.json()) {
-                        System.out.println(place + ": " + silent.getMessage());
-                    }
+                    all.put(place, Map.of("error", silent.getMessage()));
+                    print(group, place + ": " + silent.getMessage());
                 }
             }
             if (group.json()) {
                 System.out.println(Codec.json().writeValueAsString(all));
             }
-            return answers == 0 ? Coordinator.UNREACHABLE : leader == null ? 1 : 0;
+            if (answers == 0) {
+                return ExitCode.UNREACHABLE;
+            }
+            return led ? ExitCode.OK : ExitCode.REFUSED;
+        }
+
+        private static void print(Group group, String line) {
+            if (!group.json()) {
+                System.out.println(line);
+            }
+        }
+
+        private static String line(JsonNode status) {
+            return String.format(
+                    "%-8s %-9s term %d, commit %d of %d, snapshot %d, level %d of %d, voters %s",
+                    status.path("name").asText(),
+                    status.path("role").asText(),
+                    status.path("term").asInt(),
+                    status.path("commitIndex").asLong(),
+                    status.path("lastIndex").asLong(),
+                    status.path("snapshotIndex").asLong(),
+                    status.path("level").asInt(),
+                    status.path("speaks").asInt(),
+                    status.path("voters"));
         }
     }
 
@@ -254,14 +269,7 @@
 
         @Override
         public Integer call() throws Exception {
-            JsonNode said =
-                    group.client()
-                            .post(
-                                    "/v1/leave",
-                                    Codec.json().createObjectNode().put("name", name),
-                                    group.within());
-            group.print(said, name + ": " + said.path("state").asText());
-            return 0;
+            return changeMember(group, "/v1/leave", "name", name);
         }
     }
 
@@ -278,14 +286,7 @@
 
         @Override
         public Integer call() throws Exception {
-            JsonNode said =
-                    group.client()
-                            .post(
-                                    "/v1/transfer",
-                                    Codec.json().createObjectNode().put("to", name),
-                                    group.within());
-            group.print(said, name + ": " + said.path("state").asText());
-            return 0;
+            return changeMember(group, "/v1/transfer", "to", name);
         }
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Coordinator.java
@@ -21,12 +21,6 @@
             AdviceCommand.class
         })
 public final class Coordinator {
-    /** No group could be reached. */
-    static final int UNREACHABLE = 69;
-
-    /** The lease was lost, or not had in time. */
-    static final int LOST = 75;
-
     private Coordinator() {}
 
     /**
@@ -41,19 +35,19 @@
         ((Logger) LoggerFactory.getLogger("io.microraft"))
                 .setLevel(Level.WARN); // it tells of each vote
         return new CommandLine(new Coordinator())
-                .setExecutionExceptionHandler(
-                        (failed, line, parsed) -> {
-                            System.err.println(
-                                    "saltstage: "
-                                            + (failed.getMessage() == null
-                                                    ? failed
-                                                    : failed.getMessage()));
-                            return failed instanceof GroupClient.Unreachable
-                                    ? UNREACHABLE
-                                    : failed instanceof MalformedException
-                                            ? 1
-                                            : CommandLine.ExitCode.SOFTWARE;
-                        })
+                .setExecutionExceptionHandler((failure, line, parsed) -> fail(failure))
                 .execute(args);
     }
+
+    private static int fail(Exception failure) {
+        Object why = failure.getMessage() == null ? failure : failure.getMessage();
+        System.err.println("saltstage: " + why);
+        if (failure instanceof GroupClient.Unreachable) {
+            return ExitCode.UNREACHABLE;
+        }
+        if (failure instanceof RefusedException || failure instanceof MalformedException) {
+            return ExitCode.REFUSED;
+        }
+        return CommandLine.ExitCode.SOFTWARE;
+    }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/command/Group.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/Group.java
@@ -1,10 +1,11 @@
 package saltstage.coordinator.command;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import picocli.CommandLine.ITypeConverter;
@@ -13,6 +14,10 @@
 import saltstage.coordinator.client.GroupClient;
 import saltstage.coordinator.client.Ticker;
 import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.HostPort;
+import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
 import saltstage.coordinator.settings.CoordinatorSettings;
 import saltstage.wire.MalformedException;
 
@@ -68,7 +73,7 @@
             throw new MalformedException("name the group by --settings FILE or --at HOST:PORT");
         }
         return CoordinatorSettings.read(settings).members().values().stream()
-                .map(place -> place.clients().getHostString() + ":" + place.clients().getPort())
+                .map(place -> HostPort.of(place.clients()))
                 .toList();
     }
 
@@ -76,6 +81,27 @@
         return new GroupClient(places(), Ticker.SYSTEM);
     }
 
+    /** Sends a command in a session of its own, and returns what came of it. */
+    Reply send(Command command)
+            throws IOException, InterruptedException, MalformedException, RefusedException {
+        Reply reply = client().send(command, within).reply();
+        if (reply instanceof Refused refusal) {
+            throw new RefusedException(refusal);
+        }
+        return reply;
+    }
+
+    /** Reads from the API, in JSON. */
+    JsonNode get(String path) throws IOException, InterruptedException, MalformedException {
+        return client().get(path, within);
+    }
+
+    /** Posts a call with one field to the API, in JSON. */
+    JsonNode post(String path, String field, String value)
+            throws IOException, InterruptedException, MalformedException {
+        return client().post(path, Codec.json().createObjectNode().put(field, value), within);
+    }
+
     Duration within() {
         return within;
     }
@@ -89,12 +115,4 @@
         System.out.println(json ? Codec.json().writeValueAsString(value) : text);
         System.out.flush();
     }
-
-    static Map<String, Object> pairs(Object... nameAndValue) {
-        Map<String, Object> map = new java.util.LinkedHashMap<>();
-        for (int i = 0; i < nameAndValue.length; i += 2) {
-            map.put((String) nameAndValue[i], nameAndValue[i + 1]);
-        }
-        return map;
-    }
 }
--- /dev/null
+++ b/coordinator/src/main/java/saltstage/coordinator/command/HeldLease.java
@@ -0,0 +1,28 @@
+package saltstage.coordinator.command;
+
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Options that name a lease together with who holds it, and under which fence. */
+final class HeldLease {
+    @Parameters(paramLabel = "NAME")
+    private String name;
+
+    @Option(names = "--owner", required = true)
+    private String owner;
+
+    @Option(names = "--fence", required = true)
+    private long fence;
+
+    String name() {
+        return name;
+    }
+
+    String owner() {
+        return owner;
+    }
+
+    long fence() {
+        return fence;
+    }
+}
--- a/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/LeaseCommand.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -13,13 +14,12 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import saltstage.coordinator.client.GroupClient;
-import saltstage.coordinator.client.GroupClient.TimedReply;
 import saltstage.coordinator.client.LeaseClient;
 import saltstage.coordinator.client.Ticker;
 import saltstage.coordinator.lease.LeaseCommands;
 import saltstage.coordinator.lease.LeaseReplies;
 import saltstage.coordinator.model.Done;
-import saltstage.coordinator.model.Refused;
+import saltstage.coordinator.model.Reply;
 
 /** Leases by hand, and programs that run only while they hold one. */
 @Command(
@@ -37,11 +37,6 @@
 final class LeaseCommand {
     private LeaseCommand() {}
 
-    private static int refused(Refused no) {
-        System.err.println("saltstage: " + no.why());
-        return 1;
-    }
-
     /** Takes one for a span; nobody renews it but who calls again. */
     @Command(
             name = "acquire",
@@ -61,23 +56,16 @@
 
         @Override
         public Integer call() throws Exception {
-            TimedReply said =
-                    group.client()
-                            .send(
-                                    new LeaseCommands.Acquire(
-                                            name, owner, ttl.toMillis(), 0, false),
-                                    group.within());
-            if (said.reply() instanceof Refused no) {
-                return refused(no);
-            }
-            if (said.reply() instanceof LeaseReplies.Held held) {
+            Reply reply =
+                    group.send(new LeaseCommands.Acquire(name, owner, ttl.toMillis(), 0, false));
+            if (reply instanceof LeaseReplies.Held held) {
                 group.print(
                         held,
                         name + ": held by " + held.holder() + " for " + held.remainingMs() + " ms");
-                return Coordinator.LOST;
+                return ExitCode.LEASE_LOST;
             }
-            group.print(said.reply(), Long.toString(((LeaseReplies.Granted) said.reply()).fence()));
-            return 0;
+            group.print(reply, Long.toString(((LeaseReplies.Granted) reply).fence()));
+            return ExitCode.OK;
         }
     }
 
@@ -89,28 +77,17 @@
     static final class Renew implements Callable<Integer> {
         @CommandLine.Mixin private Group group;
 
-        @Parameters(paramLabel = "NAME")
-        private String name;
-
-        @Option(names = "--owner", required = true)
-        private String owner;
-
-        @Option(names = "--fence", required = true)
-        private long fence;
+        @CommandLine.Mixin private HeldLease held;
 
         @Override
         public Integer call() throws Exception {
-            TimedReply said =
-                    group.client()
-                            .send(
-                                    new LeaseCommands.Renew(owner, java.util.Map.of(name, fence)),
-                                    group.within());
-            if (said.reply() instanceof Refused no) {
-                return refused(no);
-            }
-            boolean held = ((LeaseReplies.Renewed) said.reply()).lost().isEmpty();
-            group.print(said.reply(), held ? "renewed" : "lost");
-            return held ? 0 : Coordinator.LOST;
+            Reply reply =
+                    group.send(
+                            new LeaseCommands.Renew(
+                                    held.owner(), Map.of(held.name(), held.fence())));
+            boolean kept = ((LeaseReplies.Renewed) reply).lost().isEmpty();
+            group.print(reply, kept ? "renewed" : "lost");
+            return kept ? ExitCode.OK : ExitCode.LEASE_LOST;
         }
     }
 
@@ -119,25 +96,14 @@
     static final class Release implements Callable<Integer> {
         @CommandLine.Mixin private Group group;
 
-        @Parameters(paramLabel = "NAME")
-        private String name;
-
-        @Option(names = "--owner", required = true)
-        private String owner;
-
-        @Option(names = "--fence", required = true)
-        private long fence;
+        @CommandLine.Mixin private HeldLease held;
 
         @Override
         public Integer call() throws Exception {
-            TimedReply said =
-                    group.client()
-                            .send(new LeaseCommands.Release(name, owner, fence), group.within());
-            if (said.reply() instanceof Refused no) {
-                return refused(no);
-            }
-            group.print(said.reply(), ((Done) said.reply()).what());
-            return 0;
+            Reply reply =
+                    group.send(new LeaseCommands.Release(held.name(), held.owner(), held.fence()));
+            group.print(reply, ((Done) reply).what());
+            return ExitCode.OK;
         }
     }
 
@@ -155,15 +121,13 @@
         @Override
         public Integer call() throws Exception {
             JsonNode read =
-                    group.client()
-                            .get(
-                                    "/v1/leases?prefix="
-                                            + URLEncoder.encode(prefix, StandardCharsets.UTF_8)
-                                            + (stale ? "&stale=1" : ""),
-                                    group.within());
+                    group.get(
+                            "/v1/leases?prefix="
+                                    + URLEncoder.encode(prefix, StandardCharsets.UTF_8)
+                                    + (stale ? "&stale=1" : ""));
             if (group.json()) {
                 System.out.println(read);
-                return 0;
+                return ExitCode.OK;
             }
             for (JsonNode row : read.path("leases")) {
                 System.out.printf(
@@ -174,7 +138,7 @@
                         Math.max(0, row.path("expires").asLong() - read.path("groupNow").asLong()),
                         row.path("waiters").size());
             }
-            return 0;
+            return ExitCode.OK;
         }
     }
 
@@ -218,7 +182,7 @@
                                     : "free");
                 }
             }
-            return 0;
+            return ExitCode.OK;
         }
     }
 
@@ -275,7 +239,7 @@
                 return watch(builder.start(), lease, lost);
             } catch (LeaseClient.NotGranted no) {
                 System.err.println("saltstage: " + no.getMessage());
-                return Coordinator.LOST;
+                return ExitCode.LEASE_LOST;
             }
         }
 
@@ -305,7 +269,7 @@
             if (!child.waitFor(lease.remaining().toMillis() / 2, TimeUnit.MILLISECONDS)) {
                 child.destroyForcibly().waitFor();
             }
-            return Coordinator.LOST;
+            return ExitCode.LEASE_LOST;
         }
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
+++ b/coordinator/src/main/java/saltstage/coordinator/command/WindowCommand.java
@@ -11,7 +11,6 @@
 import picocli.CommandLine.Parameters;
 import saltstage.coordinator.group.Codec;
 import saltstage.coordinator.model.Command;
-import saltstage.coordinator.model.Refused;
 import saltstage.coordinator.model.Reply;
 import saltstage.coordinator.settings.FleetSettings;
 import saltstage.coordinator.window.Window;
@@ -49,16 +48,20 @@
                 window.why());
     }
 
-    /** Sends a command and prints what came of it; 1 where it was refused. */
-    private static int say(Group group, Command command) throws Exception {
-        Reply reply = group.client().send(command, group.within()).reply();
-        if (reply instanceof Refused no) {
+    private static Reply sendOrPrintRefusal(Group group, Command command) throws Exception {
+        try {
+            return group.send(command);
+        } catch (RefusedException refused) {
             if (group.json()) {
-                System.out.println(Codec.json().writeValueAsString(no));
+                System.out.println(Codec.json().writeValueAsString(refused.refusal()));
             }
-            System.err.println("saltstage: " + no.why());
-            return 1;
+            throw refused;
         }
+    }
+
+    /** Sends a command and prints what came of it. */
+    private static int send(Group group, Command command) throws Exception {
+        Reply reply = sendOrPrintRefusal(group, command);
         if (reply instanceof WindowReplies.Planned planned) {
             group.print(
                     planned,
@@ -68,7 +71,7 @@
             group.print(
                     reply, reply instanceof WindowReplies.Now now ? line(now.window()) : "done");
         }
-        return 0;
+        return ExitCode.OK;
     }
 
     /** The agreement. */
@@ -85,7 +88,7 @@
 
         @Override
         public Integer call() throws Exception {
-            return say(
+            return send(
                     group,
                     new WindowCommands.SetFleet(
                             FleetSettings.read(file, Instant.now()),
@@ -93,7 +96,7 @@
         }
     }
 
-    /** A wish. */
+    /** A request for a window. */
     @CommandLine.Command(
             name = "propose",
             description = "Asks for a window.",
@@ -155,7 +158,7 @@
         public Integer call() throws Exception {
             Instant from = earliest == null ? Instant.now() : earliest;
             Instant to = latest == null ? from.plus(Duration.ofDays(7)) : latest;
-            return say(
+            return send(
                     group,
                     new WindowCommands.Propose(
                             new WindowRequest(
@@ -190,7 +193,7 @@
 
         @Override
         public Integer call() throws Exception {
-            JsonNode read = group.client().get("/v1/windows", group.within());
+            JsonNode read = group.get("/v1/windows");
             boolean found = id == null;
             for (JsonNode row : read.path("windows")) {
                 Window window = Codec.json().treeToValue(row, Window.class);
@@ -219,7 +222,7 @@
 
         @Override
         public Integer call() throws Exception {
-            return say(group, new WindowCommands.Withdraw(id, System.getProperty("user.name")));
+            return send(group, new WindowCommands.Withdraw(id, System.getProperty("user.name")));
         }
     }
 
@@ -239,7 +242,7 @@
 
         @Override
         public Integer call() throws Exception {
-            return say(group, new WindowCommands.Pause(id, !off, System.getProperty("user.name")));
+            return send(group, new WindowCommands.Pause(id, !off, System.getProperty("user.name")));
         }
     }
 
@@ -260,16 +263,10 @@
         public Integer call() throws Exception {
             long now = System.currentTimeMillis();
             JsonNode read =
-                    group.client()
-                            .get(
-                                    "/v1/levels?most=48&from="
-                                            + now
-                                            + "&to="
-                                            + (now + span.toMillis()),
-                                    group.within());
+                    group.get("/v1/levels?most=48&from=" + now + "&to=" + (now + span.toMillis()));
             if (group.json()) {
                 System.out.println(read);
-                return 0;
+                return ExitCode.OK;
             }
             for (JsonNode level : read) {
                 long there = level.path("capacity").asLong() + level.path("missing").asLong();
@@ -291,7 +288,7 @@
                         there / 1000,
                         level.path("need").asLong() / 1000);
             }
-            return 0;
+            return ExitCode.OK;
         }
     }
 }
--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -8,7 +8,6 @@
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Optional;
@@ -17,6 +16,7 @@
 import java.util.function.Function;
 import saltstage.coordinator.group.GroupState;
 import saltstage.coordinator.model.Command;
+import saltstage.coordinator.model.HostPort;
 import saltstage.coordinator.model.Reply;
 import saltstage.log.Log;
 import saltstage.net.Transport;
@@ -91,12 +91,8 @@
                 identity.disk(),
                 process,
                 settings.speaks(),
-                text(settings.peers()),
-                text(settings.clients()));
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
+                HostPort.of(settings.peers()),
+                HostPort.of(settings.clients()));
     }
 
     private PeerLinks.Heartbeat heartbeat() {
--- a/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
+++ b/coordinator/src/main/java/saltstage/coordinator/settings/CoordinatorSettings.java
@@ -12,6 +12,7 @@
 import saltstage.config.HclBlock;
 import saltstage.config.HclFile;
 import saltstage.coordinator.group.GroupState;
+import saltstage.coordinator.model.HostPort;
 import saltstage.coordinator.replica.ReplicaSettings;
 import saltstage.wire.HostList;
 import saltstage.wire.MalformedException;
@@ -128,7 +129,7 @@
         members.forEach(
                 (other, at) -> {
                     reached.put(other, at.peers());
-                    clients.put(other, at.clients().getHostString() + ":" + at.clients().getPort());
+                    clients.put(other, HostPort.of(at.clients()));
                 });
         reached.putAll(reach);
         List<String> first = new ArrayList<>(members.keySet());
