Take out the exact search of the planner, which nothing called

Planner.place tried every order of up to five windows and improved longer lists; neither the service nor a test called it. What runs places one window at a time, by urgency; that method is now called place. Two reads of the table that nobody made go too. No test was of it alone, so none goes.

--- a/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
@@ -1,7 +1,6 @@
 package saltstage.coordinator.window;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,10 +76,6 @@
         return (int) Math.max(0, Math.min(slots, Math.floorDiv(at - from, plan.slotMs())));
     }
 
-    int slotsUntil(long at) {
-        return slot(at);
-    }
-
     /**
      * Something is missing in a region outside any window, from now on until it is said to be back.
      */
@@ -201,11 +196,6 @@
     /** When it may begin (-1: never in time), and why then. */
     record Fit(long begin, String why) {}
 
-    /** The least room that any floor has from now on, for whoever looks for breaches. */
-    long leastRoom(String floor) {
-        return Arrays.stream(room.get(floor)).min().orElse(0);
-    }
-
     /** The room of a floor in the present slot. */
     long roomNow(String floor) {
         return room.get(floor)[0];
--- a/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Planner.java
@@ -1,22 +1,14 @@
 package saltstage.coordinator.window;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
- * Finds begins for the windows that wait. Few are tried in every order; many go by urgency and are
- * then improved within a bound: whoever is late is put before who keeps it out, as long as the
- * whole gets shorter.
+ * Finds a begin for one window among what is missing already and what is planned. Which window is
+ * placed first is up to the caller: what runs is greedy, by urgency.
  */
 final class Planner {
-    /** Up to so many, each order is tried: 120 of them. */
-    private static final int EXACT = 5;
-
-    private static final int TRIES = 24;
+    /** Five weeks; what lies beyond is not planned yet. */
     private static final long HORIZON_MS = 35L * 86_400_000;
 
     private final FleetPlan plan;
@@ -24,16 +16,6 @@
     private final Collection<Window> fixed;
     private final Map<String, Long> outages;
 
-    /**
-     * A plan: where each window goes, and what it costs; fewer put off first, then the sum of the
-     * ends.
-     */
-    record Placed(Map<Long, Window> windows, int unplaced, long ends) {
-        boolean betterThan(Placed other) {
-            return unplaced != other.unplaced ? unplaced < other.unplaced : ends < other.ends;
-        }
-    }
-
     Planner(FleetPlan plan, long now, Collection<Window> fixed, Map<String, Long> outages) {
         this.plan = plan;
         this.now = now;
@@ -56,102 +38,13 @@
         return table;
     }
 
-    /** Places all of them. */
-    Placed place(Collection<Window> waiting) {
-        List<Window> order = new ArrayList<>(waiting);
-        order.sort(
-                Comparator.comparing((Window w) -> !w.wish().emergency())
-                        .thenComparing(w -> -w.wish().priority())
-                        .thenComparing(w -> w.wish().latest())
-                        .thenComparing(w -> -w.capacity() * w.wish().durationMs())
-                        .thenComparing(Window::id));
-        Placed best = inOrder(order);
-        if (order.size() <= EXACT) {
-            for (List<Window> other : permutations(order)) {
-                Placed placed = inOrder(other);
-                best = placed.betterThan(best) ? placed : best;
-            }
-            return best;
-        }
-        for (int tried = 0; tried < TRIES && best.unplaced() > 0; tried++) {
-            List<Window> other = new ArrayList<>(order);
-            Window late = null;
-            for (Window window : order) {
-                if (best.windows().get(window.id()).state() == Window.State.PUT_OFF) {
-                    late = window;
-                    break;
-                }
-            }
-            other.remove(late);
-            other.add(0, late);
-            Placed placed = inOrder(other);
-            if (!placed.betterThan(best)) {
-                break;
-            }
-            best = placed;
-            order = other;
-        }
-        return best;
-    }
-
-    private static List<List<Window>> permutations(List<Window> of) {
-        if (of.size() < 2) {
-            return List.of(of);
-        }
-        List<List<Window>> all = new ArrayList<>();
-        for (int i = 0; i < of.size(); i++) {
-            List<Window> rest = new ArrayList<>(of);
-            Window first = rest.remove(i);
-            for (List<Window> tail : permutations(rest)) {
-                List<Window> one = new ArrayList<>(List.of(first));
-                one.addAll(tail);
-                all.add(one);
-            }
-        }
-        return all;
-    }
-
-    private Placed inOrder(List<Window> order) {
-        CapacityTable table = table(order);
-        Map<Long, Window> known = new HashMap<>();
-        fixed.forEach(window -> known.put(window.id(), window));
-        Map<Long, Window> placed = new HashMap<>();
-        List<Window> left = new ArrayList<>(order);
-        int unplaced = 0;
-        long ends = 0;
-        while (!left.isEmpty()) {
-            Window next =
-                    left.stream()
-                            .filter(
-                                    w ->
-                                            left.stream()
-                                                    .noneMatch(
-                                                            other ->
-                                                                    w.wish()
-                                                                            .after()
-                                                                            .contains(other.id())))
-                            .findFirst()
-                            .orElse(left.get(0));
-            left.remove(next);
-            Window now1 = one(table, next, known, placed);
-            placed.put(now1.id(), now1);
-            known.put(now1.id(), now1);
-            if (now1.state() == Window.State.PLANNED) {
-                table.add(now1, now, 1);
-                ends += now1.plannedEnd() - now;
-            } else {
-                unplaced++;
-            }
-        }
-        return new Placed(placed, unplaced, ends);
-    }
-
     /**
-     * Places one into the table, after those that it must come after and apart from those it must
-     * be.
+     * Places one window into the table, after those that it must come after and apart from those
+     * that it must be; it is put off, with the reason, where nothing fits.
+     *
+     * @param known all windows that it may name, by number
      */
-    Window one(
-            CapacityTable table, Window window, Map<Long, Window> known, Map<Long, Window> placed) {
+    Window place(CapacityTable table, Window window, Map<Long, Window> known) {
         long notBefore = now;
         for (Long before : window.wish().after()) {
             Window first = known.get(before);
--- a/coordinator/src/main/java/saltstage/coordinator/window/Replanner.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/Replanner.java
@@ -124,7 +124,7 @@
             Map<Long, Window> known,
             Window window,
             long now) {
-        Window placed = planner.one(table, window, known, known);
+        Window placed = planner.place(table, window, known);
         if (window.state() == State.PLANNED && placed.start() != window.start()) {
             String why = "moved from " + window.start() + ": " + placed.why();
             placed = placed.to(placed.state(), now, why);
--- a/coordinator/src/main/java/saltstage/coordinator/window/WindowProposals.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/WindowProposals.java
@@ -97,7 +97,7 @@
         CapacityTable table = tableWith(planner, counted, window, now);
         Map<Long, Window> known = new LinkedHashMap<>();
         store.all().forEach(w -> known.put(w.id(), w));
-        return planner.one(table, window, known, known);
+        return planner.place(table, window, known);
     }
 
     /** Both halves, or nothing. */
