--- a/coordinator/src/main/java/saltstage/coordinator/replica/RaftThread.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/RaftThread.java
@@ -44,9 +44,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (
-                    RuntimeException
-                            fault) { // the engine's thread must go on for the tasks after it
+            } catch (RuntimeException fault) {
+                // The engine's thread must go on for the tasks after it.
                 Log.error("replica.fault", fault);
             }
         };
--- a/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
+++ b/coordinator/src/main/java/saltstage/coordinator/window/CapacityTable.java
@@ -184,9 +184,7 @@
             }
             last = conflict;
             // What a window takes only falls with its time: begun later, and before the blocked
-            // slot, it
-            // would
-            // take as much of that slot or more.
+            // slot, it would take as much of that slot or more.
             first = Math.max(slot(begin), conflict.slot()) + 1;
             begin = at(first);
         }
