Configuration block in the example file checked; a quiet follower's bytes recounted

Cause: the check of deploy/saltstage.hcl uncomments blocks by name and did not know the new one, so the build failed.

Change: the check uncomments the block too and reads its sources. Bytes are counted from request to request.

--- a/deploy/saltstage.hcl
+++ b/deploy/saltstage.hcl
@@ -16,8 +16,8 @@
 #   compaction_rate = "4MiB"                 # bytes a second that compaction may copy
 # }
 
-# Configuration by revision from sources that the fleet shares, in place of discovery. Leave the block out and nothing of it is
-# loaded, as on the platform. docs/operators/configuration.md tells what is taken from it.
+# Configuration by revision from sources that the fleet shares, in place of discovery. Leave the block out and it is not
+# loaded at all, as on the platform. docs/operators/configuration.md tells what is taken from it.
 # configuration {
 #   sources = ["127.0.0.1:7300", "127.0.0.1:7301"]   # the preferred one first, usually the distributor of the relay's zone
 #   zone    = "a"                                    # the zone that this relay runs in
--- a/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
+++ b/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
@@ -101,10 +101,13 @@
     void theExampleIsSound() throws Exception {
         Path example = Path.of("..", "deploy", "saltstage.hcl");
         assertTrue(OperatorSettings.read(example).keeping().isEmpty());
-        String uncommented = Files.readString(example).replaceAll("(?m)^# (?=store|amqp|  |\\})", "");
+        String uncommented = Files.readString(example).replaceAll("(?m)^# (?=store|amqp|configuration \\{|  |\\})", "");
         assertEquals("/var/lib/saltstage",
             OperatorSettings.of("example", uncommented).keeping().orElseThrow().dir().toString());
         assertEquals(5672,
             OperatorSettings.of("example", uncommented).amqp().orElseThrow().listen().getPort());
+        assertTrue(OperatorSettings.read(example).following().isEmpty());
+        assertEquals(2,
+            OperatorSettings.of("example", uncommented).following().orElseThrow().sources().size());
     }
 }
--- a/relay/src/test/java/saltstage/configuration/follower/ConfigurationClientTest.java
+++ b/relay/src/test/java/saltstage/configuration/follower/ConfigurationClientTest.java
@@ -232,13 +232,17 @@
 
     @Test
     void aQuietFollowerCostsLittle() throws Exception {
-        ScriptedSource source = source(served(1));
-        ConfigurationClient client = follow(source);
-        await("it rests", () -> client.confirmedAt() != null);
-        long requests = source.requests();
-        long bytes = source.bytes();
-        await("it has asked on", () -> source.requests() >= requests + 4);
-        long perRound = (source.bytes() - bytes) / (source.requests() - requests);
+        ServedView view = served(1);
+        ScriptedSource source = source(view);
+        List<Long> bytes = new CopyOnWriteArrayList<>(); // at each request, once its head was read
+        source.script(
+                (query, out) -> {
+                    bytes.add(source.bytes());
+                    view.answer(query, out);
+                });
+        follow(source);
+        await("it has asked on", () -> bytes.size() >= 7);
+        long perRound = (bytes.get(6) - bytes.get(2)) / 4;
         System.out.println("a quiet follower's request and answer: " + perRound + " bytes");
         assertTrue(perRound < 600, "bytes a request and answer: " + perRound);
     }
