ApiHandler: a request that cannot be read gives its call back

Cause: 'GET /%zz' makes the URI decoder throw IllegalArgumentException, which dispatch did not catch, so the count of concurrent calls was never lowered; after 20,000 such requests every call got 503. Ruled out: bodies and parameters, which are read behind the catch. Change: whatever fails while a request is read ends its future. Measured: malformedPathsAreBadRequestsAndTakeNoCallForGood fails with the narrower catch and passes with this; ApiHandlerTest 10 and GroupConfigCommandTest 4 run, 0 failed.

--- a/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
+++ b/coordinator/src/main/java/saltstage/coordinator/api/ApiHandler.java
@@ -20,7 +20,7 @@
  */
 public final class ApiHandler {
     /** Requests beyond this many that are not answered yet are refused at once. */
-    private static final int MAX_CONCURRENT_CALLS = 20_000;
+    static final int MAX_CONCURRENT_CALLS = 20_000;
 
     private static final long RESPONSE_TIMEOUT_MS = 5_000;
 
@@ -64,8 +64,8 @@
                     ? route.handle(read)
                     : CompletableFuture.completedFuture(
                             ApiResponse.notFound("no such call: " + read.route()));
-        } catch (BadRequestException bad) {
-            return CompletableFuture.failedFuture(bad);
+        } catch (RuntimeException failed) { // reported by the future, which ends the call
+            return CompletableFuture.failedFuture(failed);
         }
     }
 
--- a/coordinator/src/test/java/saltstage/coordinator/api/ApiHandlerTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/api/ApiHandlerTest.java
@@ -279,4 +279,12 @@
         Object body = handler.handle(request).get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS).body();
         assertEquals(3, Codec.image(assertInstanceOf(byte[].class, body)).level());
     }
+
+    @Test
+    void malformedPathsAreBadRequestsAndTakeNoCallForGood() throws Exception {
+        for (int i = 0; i <= ApiHandler.MAX_CONCURRENT_CALLS; i++) {
+            assertEquals(400, get("/%zz").status());
+        }
+        assertEquals(200, get("/v1/leases").status());
+    }
 }
--- a/coordinator/src/test/java/saltstage/coordinator/command/GroupConfigCommandTest.java
+++ b/coordinator/src/test/java/saltstage/coordinator/command/GroupConfigCommandTest.java
@@ -263,7 +263,7 @@
         assertTrue(out.matches("revision \\d+\n  shard/t/\\d+ gw-1\n"), out);
         String nowhere = "127.0.0.1:" + freeAddress().getPort();
         assertEquals(
-                Coordinator.UNREACHABLE,
+                ExitCode.UNREACHABLE,
                 Coordinator.run("config", "get", "--within", "200ms", "--at", nowhere));
     }
 }
