--- a/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
+++ b/relay/src/test/java/saltstage/config/OperatorSettingsTest.java
@@ -101,7 +101,8 @@
     void theExampleIsSound() throws Exception {
         Path example = Path.of("..", "deploy", "saltstage.hcl");
         assertTrue(OperatorSettings.read(example).keeping().isEmpty());
-        String uncommented = Files.readString(example).replaceAll("(?m)^# (?=store|amqp|configuration \\{|  |\\})", "");
+        String uncommented = Files.readString(example)
+            .replaceAll("(?m)^# (?=store|amqp|configuration \\{|  |\\})", "");
         assertEquals("/var/lib/saltstage",
             OperatorSettings.of("example", uncommented).keeping().orElseThrow().dir().toString());
         assertEquals(5672,
