A relay started with SIGHUP ignored says so in its log

The JVM leaves an ignored signal ignored, and nothing said so. Change: Hangups asks what was in force before its handler; serve logs reload.ignored at the start. Measured: StartTest with the new test passes; what the JVM can't hear it still can't hear.

--- a/relay/src/main/java/saltstage/lifecycle/Hangups.java
+++ b/relay/src/main/java/saltstage/lifecycle/Hangups.java
@@ -1,6 +1,7 @@
 package saltstage.lifecycle;
 
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * SIGHUP, from the process's first moment on. The JVM's own handler ends the process, and all connections
@@ -9,10 +10,17 @@
 final class Hangups {
     private Runnable reload;
     private boolean early;
+    private boolean ignored;
 
     /** Catches them from now on. */
     void begin() {
-        Signal.handle(new Signal("HUP"), hangup -> come());
+        SignalHandler before = Signal.handle(new Signal("HUP"), hangup -> come());
+        ignored = before == SignalHandler.SIG_IGN;
+    }
+
+    /** Whether the process was started with SIGHUP ignored, as under nohup: the JVM then never hears one. */
+    boolean ignored() {
+        return ignored;
     }
 
     private void come() {
--- a/relay/src/main/java/saltstage/lifecycle/Main.java
+++ b/relay/src/main/java/saltstage/lifecycle/Main.java
@@ -17,6 +17,7 @@
 import picocli.CommandLine.Option;
 import saltstage.config.Configuration;
 import saltstage.config.OperatorSettings;
+import saltstage.log.Log;
 import saltstage.log.LogSetup;
 import saltstage.sim.Malformed;
 import saltstage.sim.WireHost;
@@ -116,6 +117,9 @@
         public Integer call() throws MalformedException, IOException, InterruptedException {
             OperatorSettings chosen = settings.read();
             LogSetup.use(chosen.logging().format(), chosen.logging().level().name());
+            if (HANGUPS.ignored()) {
+                Log.warn("reload.ignored", "why", "the process was started with SIGHUP ignored");
+            }
             Program program = new Program(config.read(), chosen, Surroundings.of(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 if (program.drain()) {
--- a/relay/src/test/java/saltstage/process/StartTest.java
+++ b/relay/src/test/java/saltstage/process/StartTest.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -39,8 +40,20 @@
     }
 
     private void launch() throws Exception {
-        process = World.program(List.of("serve", "--config", file.toString())).redirectErrorStream(true)
-            .redirectInput(new File("/dev/null")).redirectOutput(log().toFile()).start();
+        start(World.program(List.of("serve", "--config", file.toString())));
+    }
+
+    private void start(ProcessBuilder relay) throws IOException {
+        process = relay.redirectErrorStream(true).redirectInput(new File("/dev/null"))
+            .redirectOutput(log().toFile()).start();
+    }
+
+    private boolean logged(String part) {
+        try {
+            return Files.readString(log()).contains(part);
+        } catch (IOException notYet) {
+            return false;
+        }
     }
 
     private Path log() {
@@ -81,17 +94,24 @@
         assertTrue(process.isAlive());
     }
 
+    @Test
+    void relayThatIsStartedWithHangupsIgnoredSaysThatItDoesNotReload() throws Exception {
+        Files.writeString(file, world.config(4096, World.list(1, true)));
+        ProcessBuilder relay = World.program(List.of("serve", "--config", file.toString()));
+        List<String> ignoring = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        ignoring.addAll(relay.command());
+        start(relay.command(ignoring));
+        World.await("the relay is ready", () -> logged("relay.ready"));
+        assertTrue(logged("reload.ignored"));
+        signal("HUP");
+        assertTrue(process.isAlive());
+    }
+
     @Test
     void terminationIsHeardWhileAReloadWaitsForItsFile() throws Exception {
         Files.writeString(file, world.config(4096, World.list(1, true)));
         launch();
-        World.await("the relay is ready", () -> {
-            try {
-                return Files.readString(log()).contains("relay.ready");
-            } catch (IOException notYet) {
-                return false;
-            }
-        });
+        World.await("the relay is ready", () -> logged("relay.ready"));
         Files.delete(file);
         done("mkfifo", file.toString());
         signal("HUP");
