UpgradeTest: the new process has stopped before a client comes

What can do it: kill returns before every thread of the new process has stopped, and one that still waits in accept may take the connection and then stop with it. Change: the test waits until every thread of that process is stopped by /proc, which is stricter than before; nothing else of it changes.

--- a/relay/src/test/java/saltstage/process/Platform.java
+++ b/relay/src/test/java/saltstage/process/Platform.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 
 /**
  * The platform's part in replacing a process: holds the clients' listening socket and starts relays that
@@ -25,6 +26,9 @@
         "while (my $line = <STDIN>) { my $p = fork(); if (!$p) { open(STDIN, '<&', $s) or die;",
         "exec('/bin/sh', '-c', $line); } print \"started $p\\n\" }");
 
+    /** A thread's state in /proc while its process is stopped. */
+    private static final char STOPPED = 'T';
+
     final Map<Long, Integer> ended = new ConcurrentHashMap<>();
     final Path folder = Files.createTempDirectory("saltstage-platform");
     final int port;
@@ -73,6 +77,30 @@
         new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
     }
 
+    /** Stops a process; on the return none of its threads runs any more, so none accepts a connection. */
+    static void stop(long pid) throws Exception {
+        signal(pid, "STOP");
+        World.await("every thread of " + pid + " has stopped", () -> stopped(pid));
+    }
+
+    private static boolean stopped(long pid) {
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
+            return threads.allMatch(thread -> state(thread) == STOPPED);
+        } catch (IOException unreadable) {
+            return false;
+        }
+    }
+
+    /** The state of a thread, which stands behind the name in brackets; unknown once it has ended. */
+    private static char state(Path thread) {
+        try {
+            String stat = Files.readString(thread.resolve("stat"));
+            return stat.charAt(stat.lastIndexOf(')') + 2);
+        } catch (IOException ended) {
+            return '?';
+        }
+    }
+
     @Override
     public void close() throws Exception {
         holder.destroy();
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -124,7 +124,7 @@
         Relay next = serving("next");
         // A first line has 2 s, and on a busy machine processes start and hear signals later than that: the
         // new one is stopped, so that the old one accepts, and the line begins when the drain has.
-        Platform.signal(next.pid(), "STOP");
+        Platform.stop(next.pid());
         Line half = world.client();
         pong(half);
         Platform.signal(old.pid(), "TERM");
