--- a/lab/src/main/java/saltstage/lab/Lab.java
+++ b/lab/src/main/java/saltstage/lab/Lab.java
@@ -9,6 +9,7 @@
 import saltstage.lab.fleet.FleetCommand;
 import saltstage.lab.measure.RestartCommand;
 import saltstage.lab.measure.StartupCommand;
+import saltstage.lab.scale.ScaleCommand;
 import saltstage.lab.store.StoreBench;
 import saltstage.lab.trial.DemoFleetCommand;
 import saltstage.lab.trial.FollowersCommand;
@@ -22,7 +23,7 @@
     subcommands = {FleetCommand.class, DemoCommand.class, StartupCommand.class, StoreBench.class,
         RestartCommand.class, LoadCommand.class, AmqpBench.class, TrialCommand.class, WorkerCommand.class,
         LeaderCommand.class, DemoFleetCommand.class, FollowersCommand.class,
-        CommandLine.HelpCommand.class})
+        ScaleCommand.class, CommandLine.HelpCommand.class})
 public final class Lab implements Callable<Integer> {
     static final int FAILED = 1;
     static final int USAGE = 2;
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/AllCommand.java
@@ -0,0 +1,54 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+
+/** Every scale run one after the other, then the fits and the page. */
+@Command(
+        name = "all",
+        mixinStandardHelpOptions = true,
+        description = "All runs, the fits and the page's tables; exit 1 where a bound was missed.")
+final class AllCommand implements Callable<Integer> {
+    private static final List<String> RUNS =
+            List.of(
+                    "list",
+                    "renewals",
+                    "renewals-grouped",
+                    "leases",
+                    "connections",
+                    "deliveries",
+                    "configuration",
+                    "real-relays",
+                    "fleet",
+                    "fleet-events");
+    private static final List<String> RESULTS = List.of("fit", "page");
+
+    @Spec private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        CommandLine scale = spec.parent().commandLine();
+        int missed = 0;
+        for (String run : RUNS) {
+            long begun = System.nanoTime();
+            int code = scale.execute(run);
+            missed += code == 0 ? 0 : 1;
+            ScaleRun.progress(
+                    run
+                            + ": exit "
+                            + code
+                            + " after "
+                            + (System.nanoTime() - begun) / 1_000_000_000
+                            + " s");
+        }
+        for (String result : RESULTS) {
+            missed += scale.execute(result) == 0 ? 0 : 1;
+        }
+        return missed == 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/CapacityPage.java
@@ -0,0 +1,45 @@
+package saltstage.lab.scale;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The generated parts of a page: what stands between {@code <!-- table:NAME -->} and its end mark.
+ */
+final class CapacityPage {
+    private static final Pattern TABLE =
+            Pattern.compile(
+                    "(<!-- table:([a-z-]+) -->\n)(.*?)(<!-- /table:\\2 -->)", Pattern.DOTALL);
+
+    private CapacityPage() {}
+
+    /** The page with its tables replaced; throws for one that nothing generates. */
+    static String filled(String page, Map<String, String> tables) {
+        Matcher mark = TABLE.matcher(page);
+        StringBuilder text = new StringBuilder();
+        while (mark.find()) {
+            String table = tables.get(mark.group(2));
+            if (table == null) {
+                throw new IllegalArgumentException("no such table: " + mark.group(2));
+            }
+            mark.appendReplacement(
+                    text, Matcher.quoteReplacement(mark.group(1) + table + "\n" + mark.group(4)));
+        }
+        return mark.appendTail(text).toString();
+    }
+
+    /** All tables by name, from the CSVs of a folder. */
+    static Map<String, String> tables(MeasuredData data) {
+        CapacityTables tables = new CapacityTables(data);
+        Map<String, String> byName = new TreeMap<>();
+        byName.put("summary", tables.summary());
+        byName.put("fits", tables.fits());
+        byName.put("estimates", tables.estimates());
+        byName.put("events", EventTable.of(data));
+        byName.put("files", FileTable.of(data.folder()));
+        byName.put("real-relays", RealRelaysTable.of(data));
+        return byName;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/ChildProcess.java
@@ -0,0 +1,102 @@
+package saltstage.lab.scale;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A JVM of a scale run: started, killed, paused and started again, always by its own process id.
+ */
+final class ChildProcess implements AutoCloseable {
+    private static final List<String> FLAGS =
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+
+    private final List<String> command;
+    private final File log;
+    private final boolean talks;
+    private Process process;
+
+    private ChildProcess(List<String> command, File log, boolean talks) {
+        this.command = command;
+        this.log = log;
+        this.talks = talks;
+    }
+
+    /** A program of a jar; it writes into a log named after it. */
+    static ChildProcess ofJar(
+            String name, Path jar, int heapMegabytes, Path folder, List<String> words) {
+        List<String> command = java(heapMegabytes);
+        command.addAll(List.of("-jar", jar.toString()));
+        command.addAll(words);
+        return new ChildProcess(command, folder.resolve(name + ".log").toFile(), false);
+    }
+
+    /**
+     * A program of the laboratory, with which this process talks over standard input and output.
+     */
+    static ChildProcess ofLab(String name, int heapMegabytes, Path folder, List<String> words) {
+        List<String> command = java(heapMegabytes);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "saltstage.lab.Lab"));
+        command.addAll(words);
+        return new ChildProcess(command, folder.resolve(name + ".log").toFile(), true);
+    }
+
+    private static List<String> java(int heapMegabytes) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx" + heapMegabytes + "m");
+        command.addAll(FLAGS);
+        return command;
+    }
+
+    synchronized ChildProcess start() throws IOException {
+        ProcessBuilder.Redirect toLog = ProcessBuilder.Redirect.appendTo(log);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectError(toLog);
+        if (!talks) {
+            builder.redirectOutput(toLog);
+        }
+        process = builder.start();
+        return this;
+    }
+
+    synchronized Process process() {
+        return process;
+    }
+
+    synchronized boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** What the kernel tells of it now. */
+    ProcessFigures figures() throws IOException {
+        return ProcessFigures.of(process().pid());
+    }
+
+    /** SIGKILL; waits until it is gone. */
+    void kill() throws InterruptedException {
+        process().destroyForcibly().waitFor();
+    }
+
+    /** SIGSTOP. */
+    void pause() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** SIGCONT. */
+    void resume() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process().pid())).start().waitFor();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        if (process() != null) {
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/ConfigurationLoad.java
@@ -0,0 +1,133 @@
+package saltstage.lab.scale;
+
+import saltstage.configuration.ConfigurationLimits;
+import saltstage.configuration.EntryKey;
+import saltstage.configuration.EntryKind;
+import saltstage.configuration.EntryValue;
+import saltstage.configuration.Mutation;
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.configuration.ConfigurationCommands.ChangeConfiguration;
+import saltstage.coordinator.configuration.ConfigurationReplies.Changed;
+import saltstage.coordinator.model.Reply;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes configuration: backends, shards placed at them, and changes of placement one after the
+ * other.
+ */
+final class ConfigurationLoad {
+    private static final String AUTHOR = "scale";
+    private static final int BACKENDS = 200;
+    private static final Duration CALL = Duration.ofSeconds(30);
+
+    private final GroupClient client;
+    private final Random random;
+    private final int backendPort;
+    private final AtomicLong newestRevision = new AtomicLong();
+    private volatile int shards;
+
+    /** Backends are at loopback addresses of their own, all at this port. */
+    ConfigurationLoad(GroupClient client, Random random, int backendPort) {
+        this.client = client;
+        this.random = random;
+        this.backendPort = backendPort;
+    }
+
+    /**
+     * A change that was accepted.
+     *
+     * @param askedNanos when it was first sent
+     * @param answeredNanos when its acceptance was known
+     */
+    record Accepted(long revision, long askedNanos, long answeredNanos) {}
+
+    /** Puts the backends. */
+    void putBackends() throws IOException, InterruptedException {
+        List<Mutation> mutations = new ArrayList<>();
+        for (int i = 0; i < BACKENDS; i++) {
+            EntryValue.Backend backend =
+                    new EntryValue.Backend(
+                            "127.9.0." + (1 + i) + ":" + backendPort,
+                            "a1",
+                            0,
+                            EntryValue.BackendState.READY,
+                            1,
+                            0);
+            mutations.add(new Mutation(new EntryKey(EntryKind.BACKEND, "gw-" + i), backend));
+        }
+        send(client, mutations, CALL);
+    }
+
+    /** Puts shards until there are so many, by several writers at once. */
+    void putShards(int upTo, List<GroupClient> writers)
+            throws InterruptedException, ExecutionException {
+        Parallel.each(
+                writers,
+                writer -> {
+                    List<Mutation> next = nextShards(upTo);
+                    while (!next.isEmpty()) {
+                        send(writer, next, CALL);
+                        next = nextShards(upTo);
+                    }
+                });
+    }
+
+    private synchronized List<Mutation> nextShards(int upTo) {
+        List<Mutation> mutations = new ArrayList<>();
+        int until = Math.min(upTo, shards + ConfigurationLimits.MUTATIONS_PER_CHANGE);
+        for (; shards < until; shards++) {
+            mutations.add(placed(shards));
+        }
+        return mutations;
+    }
+
+    /** The newest revision that came of this. */
+    long newestRevision() {
+        return newestRevision.get();
+    }
+
+    /** A change of one shard, as a command. */
+    ChangeConfiguration anyChange() {
+        return new ChangeConfiguration(AUTHOR, List.of(placed(random.nextInt(shards))), Map.of());
+    }
+
+    private Mutation placed(int shard) {
+        EntryKey key = new EntryKey(EntryKind.SHARD, "topic-" + shard / 16 + "/" + shard % 16);
+        return new Mutation(key, new EntryValue.Shard("gw-" + random.nextInt(BACKENDS)));
+    }
+
+    /** Places one shard anew, so often as a revision takes to come of it. */
+    Accepted changeOne() throws IOException, InterruptedException {
+        return change(client, 1, CALL);
+    }
+
+    /** Places so many shards anew by one change, through this client. */
+    Accepted change(GroupClient through, int count, Duration within)
+            throws IOException, InterruptedException {
+        List<Mutation> mutations = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            mutations.add(placed(random.nextInt(shards)));
+        }
+        return send(through, mutations, within);
+    }
+
+    private Accepted send(GroupClient through, List<Mutation> mutations, Duration within)
+            throws IOException, InterruptedException {
+        long asked = System.nanoTime();
+        Reply reply =
+                through.send(new ChangeConfiguration(AUTHOR, mutations, Map.of()), within).reply();
+        if (reply instanceof Changed changed) {
+            newestRevision.accumulateAndGet(changed.revision(), Math::max);
+            return new Accepted(changed.revision(), asked, System.nanoTime());
+        }
+        throw new IOException("a change was not accepted: " + reply);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/ControlPlane.java
@@ -0,0 +1,314 @@
+package saltstage.lab.scale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.client.Ticker;
+import saltstage.coordinator.group.Codec;
+import saltstage.coordinator.model.Command;
+import saltstage.lab.scale.Topology.Zone;
+import saltstage.lab.trial.Proc;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * The nine control processes: five replicas and a distributor in each zone, each reached by the
+ * others over links with the delay between their zones.
+ */
+final class ControlPlane implements AutoCloseable {
+    /** Use of links: relays that ask distributors. */
+    static final String RELAYS = "relays";
+
+    /** Use of links: distributors that ask and tell replicas. */
+    static final String DISTRIBUTORS = "distributors";
+
+    /** Use of links: replicas among themselves. */
+    static final String REPLICAS = "replicas";
+
+    private static final int PEER_PORT = 7_101;
+    private static final int CLIENT_PORT = 7_201;
+    private static final int REPLICA_HEAP_MEGABYTES = 256;
+    private static final int DISTRIBUTOR_HEAP_MEGABYTES = 256;
+    private static final Duration STATUS = Duration.ofSeconds(2);
+    private static final Duration REFUSAL = Duration.ofSeconds(4);
+    private static final int OK = 200;
+    private static final Duration LEADER = Duration.ofSeconds(30);
+
+    private final Path folder;
+    private final ZoneLinks links;
+    private final Map<String, Zone> zones = new LinkedHashMap<>();
+    private final Map<String, String> hosts = new LinkedHashMap<>();
+    private final Map<String, ChildProcess> replicas = new LinkedHashMap<>();
+    private final Map<Zone, ChildProcess> distributors = new EnumMap<>(Zone.class);
+    private final Map<Zone, String> distributorHosts = new EnumMap<>(Zone.class);
+
+    /** Sets everything up and starts nothing. */
+    ControlPlane(Path folder, ZoneLinks links) throws IOException {
+        this.folder = folder;
+        this.links = links;
+        // Not from the run's seed: two runs at once must not meet each other.
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        String block = "127." + random.nextInt(1, 255) + "." + random.nextInt(255) + ".";
+        for (int i = 0; i < Topology.REPLICAS.size(); i++) {
+            zones.put("r" + (i + 1), Topology.REPLICAS.get(i));
+            hosts.put("r" + (i + 1), block + (i + 1));
+        }
+        for (Zone zone : Zone.values()) {
+            distributorHosts.put(zone, block + (100 + zone.ordinal()));
+        }
+        for (String name : hosts.keySet()) {
+            prepareReplica(name);
+        }
+        for (Zone zone : Zone.values()) {
+            prepareDistributor(zone);
+        }
+    }
+
+    private void prepareReplica(String name) throws IOException {
+        StringBuilder text = new StringBuilder(groupHead());
+        for (String other : hosts.keySet()) {
+            if (!other.equals(name)) {
+                String at =
+                        links.add(
+                                REPLICAS,
+                                zones.get(name),
+                                zones.get(other),
+                                new InetSocketAddress(hosts.get(other), PEER_PORT));
+                text.append("  reach \"" + other + "\" {\n    at = \"" + at + "\"\n  }\n");
+            }
+        }
+        Path settings = Files.writeString(folder.resolve(name + ".hcl"), text + "}\n");
+        replicas.put(
+                name,
+                coordinator(
+                        name,
+                        REPLICA_HEAP_MEGABYTES,
+                        List.of(
+                                "cluster",
+                                "serve",
+                                "--settings",
+                                settings.toString(),
+                                "--name",
+                                name)));
+    }
+
+    private String groupHead() {
+        StringBuilder text =
+                new StringBuilder(
+                        "coordinator {\n  group = \"scale\"\n  dir = \""
+                                + folder.resolve("replicas")
+                                + "\"\n");
+        hosts.forEach(
+                (name, host) ->
+                        text.append(
+                                "  member \""
+                                        + name
+                                        + "\" {\n    peers = \""
+                                        + host
+                                        + ":"
+                                        + PEER_PORT
+                                        + "\"\n    clients = \""
+                                        + host
+                                        + ":"
+                                        + CLIENT_PORT
+                                        + "\"\n  }\n"));
+        return text.toString();
+    }
+
+    private void prepareDistributor(Zone zone) throws IOException {
+        String name = "d-" + zone.text();
+        List<String> block =
+                List.of(
+                        "distributor \"" + name + "\" {",
+                        "  zone = \"" + zone.text() + "\"",
+                        "  clients = \"" + distributorHosts.get(zone) + ":" + CLIENT_PORT + "\"",
+                        "  sources = [\""
+                                + String.join("\", \"", sourcesOfDistributor(zone))
+                                + "\"]",
+                        "  dir = \"" + folder.resolve("distributors") + "\"",
+                        "}");
+        String text = groupHead() + "}\n" + String.join("\n", block) + "\n";
+        Path settings = Files.writeString(folder.resolve(name + ".hcl"), text);
+        List<String> words =
+                List.of("distributor", "serve", "--settings", settings.toString(), "--name", name);
+        distributors.put(zone, coordinator(name, DISTRIBUTOR_HEAP_MEGABYTES, words));
+    }
+
+    private List<String> sourcesOfDistributor(Zone zone) throws IOException {
+        List<String> sources = new ArrayList<>();
+        for (Zone preferred : zone.byPreference()) {
+            for (String replica : replicasOf(preferred)) {
+                InetSocketAddress at = new InetSocketAddress(hosts.get(replica), CLIENT_PORT);
+                sources.add(links.add(DISTRIBUTORS, zone, preferred, at));
+            }
+        }
+        return sources;
+    }
+
+    private List<String> replicasOf(Zone zone) {
+        return zones.keySet().stream().filter(name -> zones.get(name) == zone).toList();
+    }
+
+    private ChildProcess coordinator(String name, int heapMegabytes, List<String> words) {
+        return ChildProcess.ofJar(name, Proc.builtJar(), heapMegabytes, folder, words);
+    }
+
+    /** Starts all nine. */
+    void start() throws IOException, InterruptedException {
+        for (ChildProcess replica : replicas.values()) {
+            replica.start();
+        }
+        leader();
+        for (ChildProcess distributor : distributors.values()) {
+            distributor.start();
+        }
+    }
+
+    /**
+     * Adds the links of a zone's relays to all distributors; returns their addresses, preferred
+     * first.
+     */
+    List<String> sourcesOfRelays(Zone zone) throws IOException {
+        return sourcesOfRelays(RELAYS, zone);
+    }
+
+    /** The same for links that are counted by another use. */
+    List<String> sourcesOfRelays(String use, Zone zone) throws IOException {
+        List<String> sources = new ArrayList<>();
+        for (Zone preferred : zone.byPreference()) {
+            sources.add(
+                    links.add(
+                            use,
+                            zone,
+                            preferred,
+                            new InetSocketAddress(distributorHosts.get(preferred), CLIENT_PORT)));
+        }
+        return sources;
+    }
+
+    /** A client at an operator's desk, without delay to any replica. */
+    GroupClient client() {
+        return new GroupClient(replicaAddresses(), Ticker.SYSTEM);
+    }
+
+    /** Whether each replica of a zone's region refuses a command, or does not answer it in time. */
+    boolean refusesChanges(Zone zone, Command command) throws InterruptedException {
+        ObjectNode body = Codec.json().createObjectNode().put("client", "outsider").put("seq", 1);
+        body.set("command", Codec.json().valueToTree(command));
+        HttpClient http = HttpClient.newHttpClient();
+        for (String name : hosts.keySet()) {
+            if (zones.get(name).sharesRegionWith(zone) && accepts(http, hosts.get(name), body)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean accepts(HttpClient http, String host, ObjectNode body)
+            throws InterruptedException {
+        URI uri = URI.create("http://" + host + ":" + CLIENT_PORT + "/v1/do");
+        HttpRequest request =
+                HttpRequest.newBuilder(uri)
+                        .timeout(REFUSAL)
+                        .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+                        .build();
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == OK;
+        } catch (IOException unanswered) {
+            return false;
+        }
+    }
+
+    private List<String> replicaAddresses() {
+        return hosts.values().stream().map(host -> host + ":" + CLIENT_PORT).toList();
+    }
+
+    /** Who leads; waits for one that a majority follows. */
+    String leader() throws IOException, InterruptedException {
+        client().get("/v1/leases?limit=1", LEADER);
+        for (String name : hosts.keySet()) {
+            if (replicas.get(name).alive() && isLeader(name)) {
+                return name;
+            }
+        }
+        throw new IOException("no replica says that it leads");
+    }
+
+    private boolean isLeader(String name) throws IOException, InterruptedException {
+        try {
+            GroupClient one =
+                    new GroupClient(List.of(hosts.get(name) + ":" + CLIENT_PORT), Ticker.SYSTEM);
+            JsonNode status = one.get("/v1/status", STATUS);
+            return status.path("role").asText().equals("leader");
+        } catch (GroupClient.Unreachable down) {
+            return false;
+        }
+    }
+
+    ChildProcess replica(String name) {
+        return replicas.get(name);
+    }
+
+    ChildProcess distributor(Zone zone) {
+        return distributors.get(zone);
+    }
+
+    /** Kills the zone's replicas and its distributor. */
+    void killZone(Zone zone) throws InterruptedException {
+        for (Map.Entry<String, ChildProcess> replica : replicas.entrySet()) {
+            if (zones.get(replica.getKey()) == zone) {
+                replica.getValue().kill();
+            }
+        }
+        distributors.get(zone).kill();
+    }
+
+    /** Starts whatever does not run. */
+    void startMissing() throws IOException {
+        for (ChildProcess replica : replicas.values()) {
+            if (!replica.alive()) {
+                replica.start();
+            }
+        }
+        for (ChildProcess distributor : distributors.values()) {
+            if (!distributor.alive()) {
+                distributor.start();
+            }
+        }
+    }
+
+    /** Kills all nine at once. */
+    void killAll() throws InterruptedException {
+        for (ChildProcess each : all()) {
+            each.kill();
+        }
+    }
+
+    private List<ChildProcess> all() {
+        List<ChildProcess> all = new ArrayList<>(replicas.values());
+        all.addAll(distributors.values());
+        return all;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        for (ChildProcess each : all()) {
+            each.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/Deliveries.java
@@ -0,0 +1,56 @@
+package saltstage.lab.scale;
+
+import org.HdrHistogram.Histogram;
+
+import java.io.IOException;
+
+/**
+ * Has backends deliver lines at a steady rate to clients that stand, one client after the other.
+ */
+final class Deliveries {
+    private static final double LAST_ARRIVALS_SECONDS = 0.5;
+    private static final long STEP_NANOS = 1_000_000;
+
+    /**
+     * What came of it.
+     *
+     * @param delivered lines that reached their client
+     * @param processorSeconds what the relay used meanwhile
+     * @param p50Ms median time from the backend's write to the client's read
+     * @param p99Ms the same, 99 in 100
+     */
+    record Outcome(long delivered, double processorSeconds, double p50Ms, double p99Ms) {}
+
+    private final LineBackends backends;
+    private final LineClients clients;
+    private long next;
+
+    Deliveries(LineBackends backends, LineClients clients) {
+        this.backends = backends;
+        this.clients = clients;
+    }
+
+    Outcome run(RelayProcess relay, int perSecond, double seconds)
+            throws IOException, InterruptedException {
+        clients.takeDeliveries();
+        double before = relay.figures().processorSeconds();
+        long begun = System.nanoTime();
+        long until = begun + (long) (seconds * 1e9);
+        long sent = 0;
+        for (long now = begun; now < until; now = System.nanoTime()) {
+            long due = (long) ((now - begun) / 1e9 * perSecond);
+            for (; sent < due; sent++) {
+                backends.deliver(next++);
+            }
+            Thread.sleep(STEP_NANOS / 1_000_000);
+        }
+        ScaleRun.seconds(LAST_ARRIVALS_SECONDS);
+        double used = relay.figures().processorSeconds() - before;
+        Histogram times = clients.takeDeliveries();
+        return new Outcome(
+                times.getTotalCount(),
+                used,
+                times.getValueAtPercentile(50) / 1e3,
+                times.getValueAtPercentile(99) / 1e3);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/FitCommand.java
@@ -0,0 +1,27 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine.Command;
+
+import saltstage.lab.Home;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+/** Computes the fits from the CSVs of all runs. */
+@Command(
+        name = "fit",
+        mixinStandardHelpOptions = true,
+        description = "Lines through the measured points: docs/measurements/scale-fits.csv.")
+final class FitCommand implements Callable<Integer> {
+    static final String FILE = "scale-fits.csv";
+
+    @Override
+    public Integer call() throws Exception {
+        Path folder = Home.measurements();
+        String csv = new CapacityTables(new MeasuredData(folder)).fitsCsv();
+        Files.writeString(folder.resolve(FILE), csv);
+        System.out.print(csv);
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/GroupedRenewalsRun.java
@@ -0,0 +1,18 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine.Command;
+
+/**
+ * The same for holders that renew all of a relay's leases by one command, as the lease client does.
+ */
+@Command(
+        name = "renewals-grouped",
+        mixinStandardHelpOptions = true,
+        description =
+                "Three real replicas; holders that renew 76 leases by one command, at rising"
+                        + " rates.")
+final class GroupedRenewalsRun extends RenewalsRun {
+    GroupedRenewalsRun() {
+        super("renewals-grouped", (int) Target.SHARDS_A_RELAY);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/LeasesRun.java
@@ -0,0 +1,142 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.lease.LeaseCommands.Acquire;
+import saltstage.coordinator.lease.LeaseCommands.Renew;
+import saltstage.coordinator.lease.LeaseReplies.Granted;
+import saltstage.coordinator.lease.LeaseReplies.Renewed;
+import saltstage.coordinator.model.Reply;
+import saltstage.lab.trial.GroupUnderTest;
+import saltstage.lab.trial.Proc;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+/**
+ * What many leases of one holder cost: one command renews them all, as the lease client does it.
+ */
+@Command(
+        name = "leases",
+        mixinStandardHelpOptions = true,
+        description =
+                "Three real replicas; one holder of ever more leases that renews all by one"
+                        + " command.")
+final class LeasesRun extends ScaleRun {
+    private static final int REPLICAS = 3;
+    private static final int[] LEASES = {500, 2_000, 8_000, 16_000, 32_000, 59_000};
+    private static final Duration CALL = Duration.ofSeconds(15);
+    private static final int ACQUIRERS = 64;
+    private static final long TTL_MS = 3_600_000;
+    private static final String OWNER = "holder";
+
+    /**
+     * A lease of 5 s, renewed a quarter of its span after the last time, as the lease client does.
+     */
+    private static final double INTERVAL_SECONDS = 1.25;
+
+    @Option(
+            names = "--renewals",
+            defaultValue = "4",
+            description = "measured at each point (default 4)")
+    private int renewals;
+
+    LeasesRun() {
+        super("leases");
+    }
+
+    @Override
+    boolean run(Stage stage) throws Exception {
+        try (GroupUnderTest group =
+                new GroupUnderTest(stage.folder(), REPLICAS, List.of(Proc.builtJar()), "")
+                        .start()) {
+            ConcurrentSkipListMap<String, Long> fences = new ConcurrentSkipListMap<>();
+            for (int leases : LEASES) {
+                progress("leases: " + leases);
+                stage.file().begin(leases);
+                acquire(stage.file(), group, fences, leases);
+                if (!measure(stage.file(), group, fences)) {
+                    break;
+                }
+            }
+        }
+        return true;
+    }
+
+    private static void acquire(
+            MeasurementFile file, GroupUnderTest group, Map<String, Long> fences, int upTo)
+            throws Exception {
+        int first = fences.size();
+        AtomicInteger next = new AtomicInteger(first);
+        long begun = System.nanoTime();
+        List<GroupClient> clients = Stream.generate(group::client).limit(ACQUIRERS).toList();
+        Parallel.each(
+                clients,
+                client -> {
+                    for (int n = next.getAndIncrement(); n < upTo; n = next.getAndIncrement()) {
+                        Acquire acquire = new Acquire("shard-" + n, OWNER, TTL_MS, 0, false);
+                        fences.put(
+                                "shard-" + n,
+                                ((Granted) client.send(acquire, CALL).reply()).fence());
+                    }
+                });
+        file.add("acquired_per_s", (upTo - first) * 1e9 / (System.nanoTime() - begun));
+    }
+
+    private boolean measure(MeasurementFile file, GroupUnderTest group, Map<String, Long> fences)
+            throws Exception {
+        GroupClient client = group.client();
+        Renew renew = new Renew(OWNER, new TreeMap<>(fences));
+        if (!renewed(client, renew)) {
+            file.add("renewed", 0);
+            return false;
+        }
+        long leader = group.pid(group.leader(CALL));
+        ProcessFigures before = ProcessFigures.of(leader);
+        long begun = System.nanoTime();
+        double took = 0;
+        for (int i = 0; i < renewals; i++) {
+            long start = System.nanoTime();
+            boolean answered = renewed(client, renew);
+            double one = (System.nanoTime() - start) / 1e9;
+            if (!answered) {
+                file.add("renewed", 0);
+                return false;
+            }
+            took += one;
+            seconds(Math.max(0, INTERVAL_SECONDS - one));
+        }
+        ProcessFigures after = ProcessFigures.of(leader);
+        double spent = (System.nanoTime() - begun) / 1e9;
+        file.add("renewed", 1);
+        file.add("answer_ms", took * 1e3 / renewals);
+        file.add(
+                "leader_processor_share",
+                (after.processorSeconds() - before.processorSeconds()) / spent);
+        file.add("leader_resident_mb", after.residentMegabytes());
+        return true;
+    }
+
+    /** False where the group does not take so large a command, or does not answer it in time. */
+    private static boolean renewed(GroupClient client, Renew renew) throws InterruptedException {
+        try {
+            Reply reply = client.send(renew, CALL).reply();
+            return reply instanceof Renewed all && all.lost().isEmpty();
+        } catch (IOException | IllegalArgumentException refused) {
+            progress(
+                    "leases: "
+                            + renew.fences().size()
+                            + " in one command: "
+                            + refused.getMessage());
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/LineFit.java
@@ -0,0 +1,104 @@
+package saltstage.lab.scale;
+
+import org.apache.commons.math3.distribution.TDistribution;
+import org.apache.commons.math3.exception.MathIllegalArgumentException;
+import org.apache.commons.math3.stat.regression.OLSMultipleLinearRegression;
+import org.apache.commons.math3.stat.regression.SimpleRegression;
+
+import java.util.List;
+
+/**
+ * A least-squares line through measured points, with 95% intervals from Student's t. The line is
+ * not to be used where the residuals bend: where a quadratic term differs from zero at the 5% level
+ * and moves the value at the largest quantity by more than a tenth.
+ *
+ * @param shape whether a line describes the points
+ * @param intercept at quantity 0
+ * @param slope per unit of the quantity
+ * @param least the smallest measured quantity
+ * @param most the largest measured quantity
+ * @param points how many were measured
+ */
+public record LineFit(
+        Shape shape, Interval intercept, Interval slope, double least, double most, int points) {
+    private static final double LEVEL = 0.05;
+    private static final double MATERIAL = 0.1;
+    private static final int LEAST_POINTS = 5;
+    private static final double LEAST_FACTOR = 16;
+
+    /** What the points look like. */
+    public enum Shape {
+        /** A line, whose slope differs from zero. */
+        LINE,
+        /** No growth: the slope's interval holds zero. */
+        FLAT,
+        /** The residuals bend: no line is drawn. */
+        BENT,
+        /** Fewer than five points, or over less than a factor of 16. */
+        TOO_FEW
+    }
+
+    /** An estimate and the ends of its 95% interval. */
+    public record Interval(double value, double low, double high) {
+        private static Interval around(double value, double half) {
+            return new Interval(value, value - half, value + half);
+        }
+    }
+
+    /** A point: a quantity and what was measured there. */
+    public record Point(double quantity, double value) {}
+
+    /**
+     * Fits the points; those at quantity 0 count, yet not for the factor between least and most.
+     */
+    public static LineFit of(List<Point> points) {
+        double least =
+                points.stream().mapToDouble(Point::quantity).filter(q -> q > 0).min().orElse(0);
+        double most = points.stream().mapToDouble(Point::quantity).max().orElse(0);
+        if (points.size() < LEAST_POINTS || most < LEAST_FACTOR * least * 0.99) {
+            Interval none = new Interval(Double.NaN, Double.NaN, Double.NaN);
+            return new LineFit(Shape.TOO_FEW, none, none, least, most, points.size());
+        }
+        SimpleRegression line = new SimpleRegression();
+        points.forEach(point -> line.addData(point.quantity(), point.value()));
+        double t =
+                new TDistribution(points.size() - 2.0).inverseCumulativeProbability(1 - LEVEL / 2);
+        Interval slope = Interval.around(line.getSlope(), t * line.getSlopeStdErr());
+        Interval intercept = Interval.around(line.getIntercept(), t * line.getInterceptStdErr());
+        return new LineFit(
+                shape(points, slope, most), intercept, slope, least, most, points.size());
+    }
+
+    private static Shape shape(List<Point> points, Interval slope, double most) {
+        if (bends(points, most)) {
+            return Shape.BENT;
+        }
+        return slope.low() <= 0 && slope.high() >= 0 ? Shape.FLAT : Shape.LINE;
+    }
+
+    private static boolean bends(List<Point> points, double most) {
+        double[] values = points.stream().mapToDouble(Point::value).toArray();
+        double[][] powers = new double[points.size()][];
+        for (int i = 0; i < powers.length; i++) {
+            double scaled = points.get(i).quantity() / most; // keeps the matrix well conditioned
+            powers[i] = new double[] {scaled, scaled * scaled};
+        }
+        try {
+            OLSMultipleLinearRegression curve = new OLSMultipleLinearRegression();
+            curve.newSampleData(values, powers);
+            double[] terms = curve.estimateRegressionParameters();
+            double error = curve.estimateRegressionParametersStandardErrors()[2];
+            double freedom = points.size() - 3.0;
+            double bound = new TDistribution(freedom).inverseCumulativeProbability(1 - LEVEL / 2);
+            double atMost = Math.abs(terms[0] + terms[1] + terms[2]);
+            return Math.abs(terms[2]) > bound * error && Math.abs(terms[2]) > MATERIAL * atMost;
+        } catch (MathIllegalArgumentException flat) {
+            return false; // the points lie on one value
+        }
+    }
+
+    /** The line's value at this quantity. */
+    public double at(double quantity) {
+        return intercept.value() + slope.value() * quantity;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/MeasurementFile.java
@@ -0,0 +1,78 @@
+package saltstage.lab.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * The CSV of a scale run, {@code scale-NAME.csv}; each point is also printed as one line of JSON.
+ */
+public final class MeasurementFile {
+    private static final String HEAD = "seed,quantity,figure,value";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final String run;
+    private final long seed;
+    private final List<Measurement> rows = new ArrayList<>();
+    private ObjectNode point;
+
+    /** An empty file of this run. */
+    public MeasurementFile(String run, long seed) {
+        this.run = run;
+        this.seed = seed;
+    }
+
+    /** Begins the point of this quantity; the one before it is printed. */
+    public void begin(double quantity) {
+        printPoint();
+        point = JSON.createObjectNode().put("run", run).put("seed", seed).put("quantity", quantity);
+    }
+
+    /** Adds a figure to the current point. */
+    public synchronized void add(String figure, double value) {
+        rows.add(new Measurement(seed, point.get("quantity").asDouble(), figure, value));
+        point.put(figure, value);
+    }
+
+    /** The points of a figure so far. */
+    List<LineFit.Point> points(String figure) {
+        return rows.stream()
+                .filter(row -> row.figure().equals(figure))
+                .map(row -> new LineFit.Point(row.quantity(), row.value()))
+                .toList();
+    }
+
+    /** Prints the point that is finished. */
+    void printPoint() {
+        if (point != null) {
+            System.out.println(point);
+            point = null;
+        }
+    }
+
+    /** Writes the CSV into the folder. */
+    public void write(Path folder) throws IOException {
+        printPoint();
+        String lines = rows.stream().map(row -> row.line() + "\n").collect(Collectors.joining());
+        Files.writeString(file(folder, run), HEAD + "\n" + lines);
+    }
+
+    private static Path file(Path folder, String run) {
+        return folder.resolve("scale-" + run + ".csv");
+    }
+
+    /** Reads the CSV of a run; empty where there is none. */
+    static List<Measurement> read(Path folder, String run) throws IOException {
+        Path file = file(folder, run);
+        if (!Files.exists(file)) {
+            return List.of();
+        }
+        return Files.readAllLines(file).stream().skip(1).map(Measurement::parse).toList();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/PageCommand.java
@@ -0,0 +1,28 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine.Command;
+
+import saltstage.lab.Home;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+/** Fills the tables of the capacity page from the CSVs. */
+@Command(
+        name = "page",
+        mixinStandardHelpOptions = true,
+        description = "Writes the generated tables of docs/CAPACITY.md.")
+final class PageCommand implements Callable<Integer> {
+    /** The page, from the repository's root. */
+    static final String PAGE = "docs/CAPACITY.md";
+
+    @Override
+    public Integer call() throws Exception {
+        Path page = Home.root().resolve(PAGE);
+        MeasuredData data = new MeasuredData(Home.measurements());
+        Files.writeString(
+                page, CapacityPage.filled(Files.readString(page), CapacityPage.tables(data)));
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/ProcessFigures.java
@@ -0,0 +1,39 @@
+package saltstage.lab.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * What the kernel tells of a process, from {@code /proc/PID/stat} (see proc(5)).
+ *
+ * @param processorSeconds user and system time used since the process began, in steps of a clock
+ *     tick
+ * @param residentBytes resident memory
+ * @param threads how many threads it has
+ */
+public record ProcessFigures(double processorSeconds, long residentBytes, int threads) {
+    private static final double TICKS_A_SECOND = 100;
+    private static final long PAGE_BYTES = 4_096;
+    private static final int USER_TICKS = 11;
+    private static final int SYSTEM_TICKS = 12;
+    private static final int THREADS = 17;
+    private static final int RESIDENT_PAGES = 21;
+
+    /** Reads the figures of a running process; throws where it has ended. */
+    public static ProcessFigures of(long pid) throws IOException {
+        String line = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] afterName = line.substring(line.lastIndexOf(')') + 2).split(" ");
+        double ticks =
+                Double.parseDouble(afterName[USER_TICKS])
+                        + Double.parseDouble(afterName[SYSTEM_TICKS]);
+        long pages = Long.parseLong(afterName[RESIDENT_PAGES]);
+        return new ProcessFigures(
+                ticks / TICKS_A_SECOND, pages * PAGE_BYTES, Integer.parseInt(afterName[THREADS]));
+    }
+
+    /** Resident memory in units of 1,000,000 bytes. */
+    public double residentMegabytes() {
+        return residentBytes / 1e6;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/RealRelaysTable.java
@@ -0,0 +1,45 @@
+package saltstage.lab.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalDouble;
+
+/** The table that sets hollow relays beside real ones. */
+final class RealRelaysTable {
+    private static final String RUN = "real-relays";
+    private static final String NOT_RUN = "not run";
+
+    private RealRelaysTable() {}
+
+    /** The table. */
+    static String of(MeasuredData data) {
+        List<String> lines =
+                new ArrayList<>(
+                        List.of(
+                                "| span | bytes a second, real | hollow | hollow ÷ real | requests"
+                                    + " a second, real | hollow | processor share, real | resident"
+                                    + " MB, real |",
+                                "| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |"));
+        for (String span : List.of("quiet", "changing")) {
+            String cells =
+                    String.join(
+                            " | ",
+                            List.of(
+                                    figure(data, span, "real_bytes_per_s"),
+                                    figure(data, span, "hollow_bytes_per_s"),
+                                    figure(data, span, "bytes_ratio"),
+                                    figure(data, span, "real_requests_per_s"),
+                                    figure(data, span, "hollow_requests_per_s"),
+                                    figure(data, span, "real_processor_share"),
+                                    figure(data, span, "real_resident_mb")));
+            lines.add("| " + span.toLowerCase(Locale.ROOT) + " | " + cells + " |");
+        }
+        return String.join("\n", lines);
+    }
+
+    private static String figure(MeasuredData data, String span, String name) {
+        OptionalDouble value = data.most(RUN, span + "_" + name);
+        return value.isEmpty() ? NOT_RUN : Figures.page(value.getAsDouble());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/RelayProcess.java
@@ -0,0 +1,122 @@
+package saltstage.lab.scale;
+
+import saltstage.lab.Home;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A real relay, started by the command and with the JVM flags of {@code deploy/balancer.toml}. */
+final class RelayProcess implements AutoCloseable {
+    private static final Duration START = Duration.ofSeconds(30);
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"exec ([^\"]+)\"");
+    private static final String CONFIG =
+            """
+            {"name":"relay","listen":"LISTEN","discovery":"DISCOVERY","seed":"1",
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
+             "known":{"rev":0,"all":true,"targets":[]},
+             "settings":{"Discovery":"on_request","FleetSize":1,"Zone":0,"Zones":["a"],
+              "Limits":{"MaxAttempts":6,"ConnectTimeout":250000,"RetryAfter":true,"MaxRetryAfter":1500000,
+                        "Probes":PROBES},
+              "Report":{"Fields":["x0","queue"],"How":"probe"},
+              "FamilyInfo":{"MessageAim":[60000.0]},
+              "Safety":{"DrainGrace":1000000,"AskEvery":6000000,"ColdFrom":0.31,"Cold":8700000,
+                        "TipMultiple":3.0,"Fall":3000000},
+              "Realms":[{"Name":"tenant"}],
+              "Services":[{"Name":"lines","Aim":500000,"GiveUp":2000000,"Effect":"retryable"}]}}
+            """;
+
+    private final InetSocketAddress listen;
+    private final Process process;
+    private final File log;
+
+    /** Starts a relay that follows this discovery and asks backends for their load. */
+    RelayProcess(Path folder, InetSocketAddress discovery, int sockets)
+            throws IOException, InterruptedException {
+        this(folder, discovery, sockets, true);
+    }
+
+    /** Starts a relay that follows this discovery, with or without probes. */
+    RelayProcess(Path folder, InetSocketAddress discovery, int sockets, boolean probes)
+            throws IOException, InterruptedException {
+        this(folder, discovery, sockets, probes, "");
+    }
+
+    /** Starts a relay with these operator's settings, and waits until it answers. */
+    RelayProcess(
+            Path folder, InetSocketAddress discovery, int sockets, boolean probes, String settings)
+            throws IOException, InterruptedException {
+        listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        Path config = Files.createDirectories(folder).resolve("relay.json");
+        Files.writeString(
+                config,
+                CONFIG.replace("LISTEN", text(listen))
+                        .replace("DISCOVERY", text(discovery))
+                        .replace("SOCKETS", Integer.toString(sockets))
+                        .replace("PROBES", Boolean.toString(probes)));
+        Path operator = Files.writeString(folder.resolve("saltstage.hcl"), settings);
+        log = folder.resolve("relay.log").toFile();
+        List<String> command = new ArrayList<>(deployedCommand());
+        command.addAll(List.of("--config", config.toString(), "--settings", operator.toString()));
+        process =
+                new ProcessBuilder(command)
+                        .directory(Home.root().toFile())
+                        .redirectErrorStream(true)
+                        .redirectOutput(log)
+                        .start();
+        Home.awaitPong(listen, process, START);
+    }
+
+    private static List<String> deployedCommand() throws IOException {
+        Matcher run = RUN.matcher(Files.readString(Home.root().resolve("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml names no command to run a relay");
+        }
+        return List.of(run.group(1).trim().split("\\s+"));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** Where clients connect. */
+    InetSocketAddress listen() {
+        return listen;
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** What the kernel tells of it now. */
+    ProcessFigures figures() throws IOException {
+        return ProcessFigures.of(process.pid());
+    }
+
+    /** How many lines of its log hold this text. */
+    long logged(String text) throws IOException {
+        try (var lines = Files.lines(log.toPath(), java.nio.charset.StandardCharsets.ISO_8859_1)) {
+            return lines.filter(line -> line.contains(text)).count();
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/RenewalsRun.java
@@ -0,0 +1,157 @@
+package saltstage.lab.scale;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+import saltstage.coordinator.client.GroupClient;
+import saltstage.coordinator.lease.LeaseCommands.Acquire;
+import saltstage.coordinator.lease.LeaseCommands.Renew;
+import saltstage.coordinator.lease.LeaseReplies.Granted;
+import saltstage.coordinator.lease.LeaseReplies.Renewed;
+import saltstage.lab.trial.GroupUnderTest;
+import saltstage.lab.trial.Proc;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What renewing leases through the group's log costs its leader, by the rate of renewals. */
+@Command(
+        name = "renewals",
+        mixinStandardHelpOptions = true,
+        description = "Three real replicas; holders that renew one lease each, at rising rates.")
+class RenewalsRun extends ScaleRun {
+    private static final int REPLICAS = 3;
+    private static final Duration CALL = Duration.ofSeconds(20);
+    private static final int[] RATES = {10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400};
+    private static final int HOLDERS = 192;
+    private static final long TTL_MS = 600_000;
+    private static final double WARM_UP_SECONDS = 4;
+
+    /** Below this share of what was offered, a higher rate would bring no more. */
+    private static final double CARRIED = 0.5;
+
+    @Option(
+            names = "--seconds",
+            defaultValue = "4",
+            description = "measured at each rate (default 4)")
+    private int seconds;
+
+    private final int leasesEach;
+
+    RenewalsRun() {
+        this("renewals", 1);
+    }
+
+    RenewalsRun(String name, int leasesEach) {
+        super(name);
+        this.leasesEach = leasesEach;
+    }
+
+    @Override
+    boolean run(Stage stage) throws Exception {
+        try (GroupUnderTest group =
+                new GroupUnderTest(stage.folder(), REPLICAS, List.of(Proc.builtJar()), "")
+                        .start()) {
+            List<Holder> holders = new ArrayList<>();
+            for (int i = 0; i < HOLDERS; i++) {
+                holders.add(new Holder(group.client(), "holder-" + i));
+            }
+            acquire(holders);
+            renew(holders, Integer.MAX_VALUE, WARM_UP_SECONDS, new ConcurrentHistogram(3));
+            for (int rate : RATES) {
+                if (!measure(stage.file(), group, holders, rate)) {
+                    break;
+                }
+            }
+        }
+        return true;
+    }
+
+    private void acquire(List<Holder> holders) throws Exception {
+        progress("renewals: " + holders.size() * leasesEach + " leases");
+        Parallel.each(holders, holder -> holder.acquire(leasesEach));
+    }
+
+    private boolean measure(
+            MeasurementFile file, GroupUnderTest group, List<Holder> holders, int rate)
+            throws Exception {
+        progress("renewals: " + rate + " a second");
+        long leader = group.pid(group.leader(CALL));
+        ProcessFigures before = ProcessFigures.of(leader);
+        Histogram took = new ConcurrentHistogram(3);
+        long begun = System.nanoTime();
+        renew(holders, rate, seconds, took);
+        double spent = (System.nanoTime() - begun) / 1e9;
+        ProcessFigures after = ProcessFigures.of(leader);
+        double carried = took.getTotalCount() / spent;
+        file.begin(carried);
+        file.add("offered_per_s", rate);
+        file.add(
+                "leader_processor_share",
+                (after.processorSeconds() - before.processorSeconds()) / spent);
+        file.add("leader_resident_mb", after.residentMegabytes());
+        file.add("answer_p50_ms", took.getValueAtPercentile(50) / 1e3);
+        file.add("answer_p99_ms", took.getValueAtPercentile(99) / 1e3);
+        return carried >= rate * CARRIED;
+    }
+
+    /** Each holder renews at its share of the rate; one that is late goes on at once. */
+    private static void renew(List<Holder> holders, int rate, double seconds, Histogram took)
+            throws Exception {
+        long begun = System.nanoTime();
+        long until = begun + (long) (seconds * 1e9);
+        double gapNanos = 1e9 * holders.size() / rate;
+        Parallel.each(
+                holders,
+                holder -> {
+                    long first =
+                            begun + (long) (gapNanos * holders.indexOf(holder) / holders.size());
+                    holder.renew(first, gapNanos, until, took);
+                });
+    }
+
+    /** One that holds leases and renews all of them by one command. */
+    private static final class Holder {
+        private final GroupClient client;
+        private final String name;
+        private final Map<String, Long> fences = new TreeMap<>();
+
+        Holder(GroupClient client, String name) {
+            this.client = client;
+            this.name = name;
+        }
+
+        void acquire(int leases) throws IOException, InterruptedException {
+            for (int i = 0; i < leases; i++) {
+                String lease = name + "-" + i;
+                Granted granted =
+                        (Granted)
+                                client.send(new Acquire(lease, name, TTL_MS, 0, false), CALL)
+                                        .reply();
+                fences.put(lease, granted.fence());
+            }
+        }
+
+        void renew(long first, double gapNanos, long until, Histogram took)
+                throws IOException, InterruptedException {
+            double due = first;
+            while (due < until && System.nanoTime() < until) {
+                Thread.sleep(Math.max(0, (long) ((due - System.nanoTime()) / 1e6)));
+                long start = System.nanoTime();
+                Renewed renewed = (Renewed) client.send(new Renew(name, fences), CALL).reply();
+                if (!renewed.lost().isEmpty()) {
+                    throw new IOException("a lease of " + name + " was lost");
+                }
+                took.recordValue((System.nanoTime() - start) / 1_000);
+                due = due + gapNanos;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/saltstage/lab/scale/ScaleRun.java
@@ -0,0 +1,57 @@
+package saltstage.lab.scale;
+
+import picocli.CommandLine.Option;
+
+import saltstage.lab.Home;
+import saltstage.net.NettyTransport;
+import saltstage.net.Transport;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+/** What all scale runs share: a seed, a scratch folder, event loops, and a CSV at the end. */
+abstract class ScaleRun implements Callable<Integer> {
+    private static final int LOOPS = 2;
+
+    @Option(names = "--seed", defaultValue = "1", description = "of all random numbers (default 1)")
+    private long seed;
+
+    private final String name;
+
+    ScaleRun(String name) {
+        this.name = name;
+    }
+
+    /** Carries the run out and fills its file; returns whether every bound was kept. */
+    abstract boolean run(Stage stage) throws Exception;
+
+    /** What a run works with. */
+    record Stage(long seed, Path folder, Transport transport, MeasurementFile file) {}
+
+    @Override
+    public Integer call() throws Exception {
+        Path folder = Files.createTempDirectory("scale-" + name + "-");
+        MeasurementFile file = new MeasurementFile(name, seed);
+        boolean kept;
+        try (Transport transport =
+                new NettyTransport(
+                        LOOPS,
+                        true,
+                        (where, fault) -> System.err.println("fault in " + where + ": " + fault))) {
+            kept = run(new Stage(seed, folder, transport, file));
+        }
+        file.write(Home.measurements());
+        Home.delete(folder);
+        return kept ? 0 : 1;
+    }
+
+    /** Progress, for who waits. */
+    static void progress(String text) {
+        System.err.println(text);
+    }
+
+    static void seconds(double seconds) throws InterruptedException {
+        Thread.sleep((long) (seconds * 1_000));
+    }
+}
--- a/lab/src/main/java/saltstage/lab/trial/GroupUnderTest.java
+++ b/lab/src/main/java/saltstage/lab/trial/GroupUnderTest.java
@@ -97,6 +97,11 @@
         return names;
     }
 
+    /** The process id of a replica that runs. */
+    public long pid(String name) {
+        return procs.get(name).pid();
+    }
+
     Proc proc(String name) {
         return procs.get(name);
     }
--- a/lab/src/main/java/saltstage/lab/trial/Proc.java
+++ b/lab/src/main/java/saltstage/lab/trial/Proc.java
@@ -11,7 +11,7 @@
 import saltstage.lab.Home;
 
 /** A process of a trial: started, killed, paused and gone on with by its own id, and started again. */
-final class Proc implements AutoCloseable {
+public final class Proc implements AutoCloseable {
     private static final List<String> JAVA = List.of(Path.of(System.getProperty("java.home"), "bin", "java")
         .toString(), "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
 
@@ -35,7 +35,7 @@
     }
 
     /** The jar that was built here. */
-    static Path builtJar() {
+    public static Path builtJar() {
         return Home.root().resolve("coordinator/target/coordinator.jar");
     }
 
--- /dev/null
+++ b/lab/src/test/java/saltstage/lab/scale/CapacityPageTest.java
@@ -0,0 +1,82 @@
+package saltstage.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import saltstage.lab.Home;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** No figure stands in the capacity page's tables that the committed CSVs do not give. */
+class CapacityPageTest {
+    private static final Path PAGE = Home.root().resolve(PageCommand.PAGE);
+    private static final Pattern MARK = Pattern.compile("<!-- table:([a-z-]+) -->");
+
+    @TempDir Path folder;
+
+    private static Path measurements() {
+        return Home.root().resolve("docs/measurements");
+    }
+
+    private static String filled(Path csvs) throws IOException {
+        return CapacityPage.filled(
+                Files.readString(PAGE), CapacityPage.tables(new MeasuredData(csvs)));
+    }
+
+    @Test
+    void theTablesAreThoseOfTheCommittedCsvs() throws IOException {
+        assertEquals(filled(measurements()), Files.readString(PAGE));
+    }
+
+    @Test
+    void theFitsAreThoseOfTheCommittedCsvs() throws IOException {
+        String fits = new CapacityTables(new MeasuredData(measurements())).fitsCsv();
+        assertEquals(fits, Files.readString(measurements().resolve(FitCommand.FILE)));
+    }
+
+    @Test
+    void everyTableIsOnThePage() throws IOException {
+        Matcher marks = MARK.matcher(Files.readString(PAGE));
+        Map<String, String> tables = CapacityPage.tables(new MeasuredData(measurements()));
+        long found = marks.results().filter(mark -> tables.containsKey(mark.group(1))).count();
+        assertEquals(tables.size(), found);
+    }
+
+    @Test
+    void aChangedDigitOnThePageIsFound() throws IOException {
+        String page = Files.readString(PAGE);
+        int table = page.indexOf("<!-- table:summary -->");
+        Matcher digit = Pattern.compile("(?<=\\| )[0-9]").matcher(page);
+        assertTrue(digit.find(table));
+        char other = page.charAt(digit.start()) == '9' ? '8' : '9';
+        String changed = page.substring(0, digit.start()) + other + page.substring(digit.end());
+        Map<String, String> tables = CapacityPage.tables(new MeasuredData(measurements()));
+        assertNotEquals(CapacityPage.filled(changed, tables), changed);
+    }
+
+    @Test
+    void aChangedDigitInACsvIsFound() throws IOException {
+        try (Stream<Path> csvs = Files.list(measurements())) {
+            for (Path csv :
+                    csvs.filter(file -> file.getFileName().toString().startsWith("scale-"))
+                            .toList()) {
+                Files.copy(csv, folder.resolve(csv.getFileName()));
+            }
+        }
+        Path changed = folder.resolve("scale-connections.csv");
+        String text = Files.readString(changed);
+        Files.writeString(changed, text.replaceFirst("resident_mb,\\d", "resident_mb,9"));
+        assertNotEquals(Files.readString(PAGE), filled(folder));
+        assertTrue(text.contains("resident_mb,"));
+    }
+}
