Replica: a follower with a stale pre-vote notices that its leader is gone

Cause: MicroRaft 0.7 clears RaftState.preCandidateState only in toFollower, toCandidate and toLeader; a leader that is heard again in the same term leaves it, PreVoteTask ends without clearing it, and HeartbeatTask acts on a time-out only while it is null. Change: StalePreVote, in the replica's periodic check, does what the engine's check would do: no leader, a new pre-vote. A pre-vote that is under way has no leader, so it cannot meet one.

--- a/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
+++ b/coordinator/src/main/java/saltstage/coordinator/replica/Replica.java
@@ -175,6 +175,7 @@
             return;
         }
         thread.every(this::periodicCheck, LeaderTasks.CHECK_PERIOD.toNanos());
+        StalePreVote.recover(node);
         directory.update(machine.state());
         links.keepOnly(members());
         if (leads()) {
--- a/lab/src/test/java/saltstage/lab/trial/GroupTest.java
+++ b/lab/src/test/java/saltstage/lab/trial/GroupTest.java
@@ -95,6 +95,33 @@
         assertEquals(0, demo.call(), () -> String.valueOf(demo.broken()));
     }
 
+    @Test
+    void leaderIsReplacedThoughEachFollowerHadAskedForVotesAndHeardItAgain() throws Exception {
+        try (GroupUnderTest group = group("")) {
+            String leader = group.leader(CALL);
+            int term = status(group, leader).path("term").asInt();
+            for (String follower : group.names()) {
+                if (!follower.equals(leader)) {
+                    losesItsLeaderForAWhile(group, leader, follower);
+                }
+            }
+            assertEquals(term, status(group, leader).path("term").asInt(), "it led all the time");
+            group.proc(leader).kill();
+            assertFalse(leader.equals(group.leader(CALL)));
+        }
+    }
+
+    /** One direction is silent until the follower has noticed; the other follower still hears the leader. */
+    private static void losesItsLeaderForAWhile(GroupUnderTest group, String leader, String follower)
+            throws IOException, InterruptedException {
+        group.link(leader, follower).ways(FaultProxy.Way.SILENT, FaultProxy.Way.CLEAR);
+        await(follower + " misses its leader",
+            () -> !status(group, follower).path("leader").asText().equals(leader));
+        group.link(leader, follower).heal();
+        await(follower + " hears it again",
+            () -> status(group, follower).path("leader").asText().equals(leader));
+    }
+
     @Test
     void leasesOutliveTheWholeGroupButAreNeverGivenTwice() throws Exception {
         try (GroupUnderTest group = group("")) {
