--- /dev/null
+++ b/relay/src/test/java/saltstage/process/NarrowPlatform.java
@@ -0,0 +1,65 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Limits of a platform for a relay under test: a shim that is loaded into it, and a descriptor limit. */
+final class NarrowPlatform {
+    private static final Path SOURCE = Path.of("src/test/c/platform_limits.c");
+    private static Path library;
+
+    private final Map<String, String> limits = new HashMap<>();
+    private int descriptors;
+
+    /** The process may have at most so many threads. */
+    NarrowPlatform threads(int most) {
+        limits.put("LIMIT_THREADS", Integer.toString(most));
+        return this;
+    }
+
+    /** Starting a thread takes this much longer. */
+    NarrowPlatform threadDelayMicros(int micros) {
+        limits.put("DELAY_THREAD_US", Integer.toString(micros));
+        return this;
+    }
+
+    /** The queue of a listening socket holds at most so many connections. */
+    NarrowPlatform backlog(int most) {
+        limits.put("LIMIT_BACKLOG", Integer.toString(most));
+        return this;
+    }
+
+    /** The process may hold at most so many descriptors. */
+    NarrowPlatform descriptors(int most) {
+        descriptors = most;
+        return this;
+    }
+
+    /** Puts these limits on a process that is to be started. */
+    void limit(ProcessBuilder process) throws IOException, InterruptedException {
+        process.environment().putAll(limits);
+        process.environment().put("LD_PRELOAD", library().toString());
+        if (descriptors > 0) {
+            process.command().addAll(0,
+                List.of("/bin/sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
+        }
+    }
+
+    private static synchronized Path library() throws IOException, InterruptedException {
+        if (library == null) {
+            Path built = Files.createDirectories(Path.of("target", "shims")).resolve("platform_limits.so")
+                .toAbsolutePath();
+            Process compiler = new ProcessBuilder("gcc", "-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o",
+                built.toString(), SOURCE.toString(), "-ldl").inheritIO().start();
+            assertEquals("the shim compiles", 0, compiler.waitFor());
+            library = built;
+        }
+        return library;
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/StandInFleet.java
@@ -0,0 +1,118 @@
+package saltstage.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+/**
+ * Any number of backends in one thread: the list names each by an id of its own and all at one address.
+ * Requests stand at once, probes are told a light load, and lines come back as they are.
+ */
+final class StandInFleet implements AutoCloseable {
+    final AtomicInteger probes = new AtomicInteger();
+    final AtomicInteger probeConnections = new AtomicInteger();
+    final AtomicInteger requests = new AtomicInteger();
+    private final int size;
+    private final ServerSocketChannel listener = ServerSocketChannel.open();
+    private final Selector selector = Selector.open();
+
+    /** One backend's side of a connection. */
+    private static final class Connection {
+        private final StringBuilder unread = new StringBuilder();
+        private boolean probed;
+    }
+
+    StandInFleet(int size) throws IOException {
+        this.size = size;
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4096);
+        listener.configureBlocking(false);
+        listener.register(selector, SelectionKey.OP_ACCEPT);
+        Thread loop = new Thread(this::serve, "stand-in fleet");
+        loop.setDaemon(true);
+        loop.start();
+    }
+
+    static String uid(int backend) {
+        return "s-" + backend;
+    }
+
+    /** The whole list. */
+    String list(int rev) throws IOException {
+        String endpoint = "127.0.0.1:" + ((InetSocketAddress) listener.getLocalAddress()).getPort();
+        return World.list(rev, true, IntStream.range(0, size)
+            .mapToObj(i -> World.target(uid(i), endpoint, "ready")).toArray(String[]::new));
+    }
+
+    private void serve() {
+        try {
+            while (selector.isOpen()) {
+                selector.select(this::serve);
+            }
+        } catch (IOException | java.nio.channels.ClosedSelectorException closed) {
+            return;
+        }
+    }
+
+    private void serve(SelectionKey key) {
+        try {
+            if (key.isAcceptable()) {
+                SocketChannel accepted = listener.accept();
+                if (accepted != null) {
+                    accepted.configureBlocking(false);
+                    accepted.register(selector, SelectionKey.OP_READ, new Connection());
+                }
+            } else {
+                read((SocketChannel) key.channel(), (Connection) key.attachment());
+            }
+        } catch (IOException ended) {
+            key.cancel();
+        }
+    }
+
+    private void read(SocketChannel channel, Connection connection) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate(4096);
+        if (channel.read(bytes) < 0) {
+            channel.close();
+            return;
+        }
+        connection.unread.append(new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1));
+        for (int end = connection.unread.indexOf("\n"); end >= 0; end = connection.unread.indexOf("\n")) {
+            String line = connection.unread.substring(0, end).trim();
+            connection.unread.delete(0, end + 1);
+            channel.write(ByteBuffer.wrap((answer(connection, line) + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1)));
+        }
+    }
+
+    private String answer(Connection connection, String line) {
+        if (line.equals("STATS")) {
+            probes.incrementAndGet();
+            if (!connection.probed) {
+                connection.probed = true;
+                probeConnections.incrementAndGet();
+            }
+            return "PONG x0=0.3,queue=0";
+        }
+        if (line.startsWith("OPEN ")) {
+            requests.incrementAndGet();
+            return "UP r1";
+        }
+        return line;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
+    }
+}
--- a/relay/src/test/java/saltstage/process/World.java
+++ b/relay/src/test/java/saltstage/process/World.java
@@ -34,6 +34,8 @@
     private final List<AutoCloseable> toClose = new ArrayList<>();
     final int admin = freePort();
     final Map<String, String> environment = new HashMap<>();
+    /** Limits of the platform that the relay runs under, or null. */
+    NarrowPlatform platform;
     private int port = freePort();
     private Process process;
     private Path file;
@@ -174,6 +176,10 @@
         ProcessBuilder relay = program(arguments).redirectErrorStream(true)
             .redirectInput(new File("/dev/null"));
         relay.environment().putAll(environment);
+        if (platform != null) {
+            inService(relay);
+            platform.limit(relay);
+        }
         process = relay.start();
         Thread reader = new Thread(() -> drainLog(process), "log");
         reader.setDaemon(true);
@@ -182,6 +188,14 @@
         return this;
     }
 
+    /** Gives it the JVM flags that the relay has in service. */
+    private static void inService(ProcessBuilder relay) throws IOException {
+        String deployed = Files.readString(Path.of("..", "deploy", "balancer.toml"));
+        String flags = deployed.replaceAll("(?s).*run = \"exec java (.*?) -jar .*", "$1");
+        relay.command().addAll(1, java.util.Arrays.stream(flags.split(" "))
+            .filter(flag -> !flag.startsWith("-XX:SharedArchiveFile")).toList());
+    }
+
     /** Kills the relay outright; what it had logged is forgotten. */
     void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
@@ -258,6 +272,11 @@
         return call(admin, call);
     }
 
+    /** Where clients come. */
+    int clientPort() {
+        return port;
+    }
+
     /** Clients come to this port from now on. */
     void clientsAt(int where) {
         port = where;
