Clients that have not asked, and that linger, cost no thread; threads are proven first

The JVM handles each signal on a new thread: SIGHUP met 'OutOfMemoryError occurred dispatching signal' and was gone. Class: a cost bounded by a burst, and counted by nobody. Change: ClientAcceptor accepts, hears first lines and waits for those that were answered to hang up, on one thread. ThreadBudget proves room for threads before a request gets its two, and keeps 24 of what was proven; who finds none is told BUSY and seen off without a reset (threadless= in totals, threads.limited in the log). A fault in a client's thread answers ERR; it closed the connection without an answer. Why it works: silence takes descriptors only, which are bounded; what takes threads is bounded below what the platform gave. CrossingTest met the relay through a socket of its own before the first line, which is now read on a channel: two of its tests play the same crossing 100 and 20 times in place of one halted step; the bounds are the same.

--- a/relay/src/main/java/saltstage/lifecycle/Program.java
+++ b/relay/src/main/java/saltstage/lifecycle/Program.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
@@ -56,7 +57,7 @@
     private final Object reloading = new Object();
     private final CountDownLatch firstList = new CountDownLatch(1);
     private final Chain chain;
-    private volatile ClientListener listener;
+    private volatile boolean accepting;
     private volatile boolean failed;
     private volatile AmqpFront amqp;
     private int beats;
@@ -150,17 +151,22 @@
         if (operator.amqp().isPresent()) {
             startAmqp(operator.amqp().get());
         }
-        ClientListener clients = surroundings.inheritsListener() ? ClientListener.inherited()
+        ServerSocketChannel clients = surroundings.inheritsListener() ? ClientListener.inherited()
             : ClientListener.at(config.listen());
         if (admin() != null || surroundings.inheritsListener() || shared != null) {
             clerk.look(); // bans and the part of the descriptors hold before the first client
             Threads.loop("clerk", clerk::round);
         }
         awaitAgent();
-        listener = clients;
-        clients.start(chain.takeIn()::accept);
+        accept(clients);
+    }
+
+    private void accept(ServerSocketChannel clients) throws IOException {
+        chain.takeIn().start();
+        chain.takeIn().acceptor().start(clients);
+        accepting = true;
         clerk.ready(null);
-        Log.info("relay.ready", "name", config.name(), "listen", clients.address(),
+        Log.info("relay.ready", "name", config.name(), "listen", clients.getLocalAddress(),
             "rev", peers.rev(), "peers", peers.all().size());
     }
 
@@ -268,10 +274,9 @@
         boolean succeeded = clerk.succeeded();
         Duration late = lateness();
         clerk.ready("leaving");
-        ClientListener clients = listener;
-        if (succeeded && clients != null) {
+        if (succeeded && accepting) {
             try {
-                clients.stop();
+                chain.takeIn().acceptor().stop();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -22,7 +22,6 @@
 public final class Admit {
     /** Descriptors of the relay itself: the jar, the listener, discovery, the log, a reload, probes. */
     private static final int RESERVED_SOCKETS = 40;
-    /** Each that waits in the doorway has a thread: there is no use in more of them. */
     private static final int MOST_IN_DOORWAY = 512;
     private static final int LEAST_IN_DOORWAY = 8;
     /** The answer takes its way back too: the relay's clock must run out before the client's. */
@@ -63,7 +62,7 @@
         return (sockets - RESERVED_SOCKETS - doorway(sockets)) / 2;
     }
 
-    /** Admits a request and has it routed; null where its client was turned away in that moment. */
+    /** Admits a request and has it routed. */
     RequestContext admit(LineClient client, OpenLine line) throws MalformedException, IOException {
         Instant now = clock.now();
         int serviceClass = config.serviceClass(line.field("c"));
@@ -80,10 +79,7 @@
             // Passed on, another's id would be a second copy of that request at a backend.
             throw new MalformedException("id is in use");
         }
-        if (!client.asks(line)) {
-            open.remove(line.id());
-            return null;
-        }
+        client.asks(line);
         RequestContext context = new RequestContext(ids.incrementAndGet(), terms, deadline, client);
         book.taken();
         if (client.lines().isOver()) {
@@ -153,16 +149,8 @@
         }
     }
 
-    /**
-     * There is no room or no thread for this client: it is told to come again, by the accepting thread. One
-     * that has asked meanwhile is not touched: its request may be out, and it will get its own answer.
-     */
-    void turnAway(LineClient client) {
-        if (client.turnsAway()) {
-            book.tell(client, LineClient.busy(config.longestRetryAfter())); // few bytes: does not block
-        }
-        if (!client.hasAsked()) {
-            client.close();
-        }
+    /** The answer to a client that there is no room for. */
+    String busy() {
+        return LineClient.busy(config.longestRetryAfter());
     }
 }
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -27,7 +27,6 @@
 public final class Book {
     /** A close with unread input resets the connection and may take the answer with it. */
     static final Duration LINGER = Duration.ofMillis(800);
-    static final int MOST_IGNORED = 64 << 10;
     /** What a client is told that says more than its first line before it has its answer. */
     static final String ONE_LINE = "only one line before the answer";
 
@@ -43,6 +42,7 @@
     private final AtomicLong failed = new AtomicLong();
     private final AtomicLong left = new AtomicLong();
     private final AtomicLong resets = new AtomicLong();
+    private final AtomicLong threadless = new AtomicLong();
 
     Book(Configuration config, MonotonicClock clock, Peers peers, Counts counts) {
         this.counts = counts;
@@ -59,6 +59,11 @@
         taken.incrementAndGet();
     }
 
+    /** A request was refused before it was admitted, as there was no thread for it. */
+    void refusedForThreads() {
+        threadless.incrementAndGet();
+    }
+
     /** A try was written whole. */
     public void written() {
         counts.tried();
@@ -131,15 +136,6 @@
         return true;
     }
 
-    /** One line and the end, for a client whose first line is no request or has not come. */
-    void turnAway(LineClient client, String event, String line) {
-        if (client.turnsAway()) {
-            Log.warn(event, "from", client.remote(), "answer", line);
-            tell(client, line);
-        }
-        client.endAnswered(LINGER, MOST_IGNORED);
-    }
-
     /** A line that is not waited for. */
     void tell(LineClient client, String line) {
         try {
@@ -249,7 +245,7 @@
     void logTotals(int clients, Object... more) {
         Runtime jvm = Runtime.getRuntime();
         Object[] pairs = {"clients", clients, "standing", standing.size(), "taken", taken, "stood", stood,
-            "rejected", rejected, "failed", failed, "left", left, "resets", resets,
+            "rejected", rejected, "failed", failed, "left", left, "resets", resets, "threadless", threadless,
             "heap_kb", (jvm.totalMemory() - jvm.freeMemory()) >> 10};
         Object[] all = Arrays.copyOf(pairs, pairs.length + more.length);
         System.arraycopy(more, 0, all, pairs.length, more.length);
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -1,8 +1,11 @@
 package saltstage.stage;
 
+import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
@@ -27,17 +30,23 @@
     private final Admit admit;
     private final IntSupplier probedPeers;
     private volatile int descriptors;
-    private final Doorway doorway;
     private final TakeIn takeIn;
     private final List<Front> fronts = new CopyOnWriteArrayList<>();
 
     /** Joins the stages; watch subscribes to discovery. */
     public Chain(Configuration config, MonotonicClock clock, Timers timers, Peers peers, Counts counts,
             Runnable watch) {
+        this(config, clock, timers, peers, counts, watch, SocketChannel::socket);
+    }
+
+    /** Joins the stages; clients that have asked are met through these sockets of their channels. */
+    public Chain(Configuration config, MonotonicClock clock, Timers timers, Peers peers, Counts counts,
+            Runnable watch, Function<SocketChannel, Socket> sockets) {
         this.timers = timers;
         book = new Book(config, clock, peers, counts);
         relay = new LineRelay(clock, timers, book);
-        LineTry tries = new LineTry(config, clock, peers, book, relay);
+        ThreadBudget threads = new ThreadBudget(Threads::tryStart);
+        LineTry tries = new LineTry(config, clock, peers, book, relay, threads);
         Send send = new Send(clock, peers, book);
         Probe probe = new Probe(peers);
         route = new Route(config, clock, timers, effects(send, probe, watch), peers::suspended);
@@ -45,10 +54,11 @@
         probe.route(route);
         probedPeers = () -> config.settings().probes() ? peers.all().size() : 0;
         descriptors = config.sockets();
-        doorway = new Doorway(Admit.doorway(config.sockets()));
         admit = new Admit(config, clock, timers, route, tries, book);
-        takeIn = new TakeIn(doorway, admit, socket -> new LineClient(socket, timers, tries, relay), relay,
-            book);
+        takeIn = new TakeIn(Admit.doorway(config.sockets()), admit,
+            asking -> new LineClient(sockets.apply(asking.channel()), asking.takeRest(), timers, tries,
+                relay),
+            relay, book, threads);
         fronts.add(takeIn);
     }
 
@@ -137,12 +147,12 @@
         descriptors = most;
         int left = most - probedPeers.getAsInt(); // each backend that is asked for its load holds one
         admit.descriptors(left);
-        doorway.room(Admit.doorway(left));
+        takeIn.acceptor().room(Admit.doorway(left));
     }
 
     /** About how many descriptors are in use. */
     public int descriptorsInUse() {
-        return admit.descriptorsInUse() + doorway.size() + probedPeers.getAsInt();
+        return admit.descriptorsInUse() + takeIn.acceptor().size() + probedPeers.getAsInt();
     }
 
     /** Looks for backends that bring nothing back. */
--- a/relay/src/main/java/saltstage/stage/LineClient.java
+++ b/relay/src/main/java/saltstage/stage/LineClient.java
@@ -4,7 +4,6 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.atomic.AtomicReference;
 import saltstage.log.Log;
 import saltstage.memory.ClientConnection;
 import saltstage.memory.Timers;
@@ -17,35 +16,19 @@
     private final Timers timers;
     private final LineTry tries;
     private final LineRelay relay;
-    /** How its first answer came about: by a request, or by being turned away without one; the first wins. */
-    private final AtomicReference<Turn> turn = new AtomicReference<>(Turn.OPEN);
     private volatile OpenLine open;
 
-    /** OPEN: it has been told nothing; ASKED: it has a request; AWAY: it was turned away without one. */
-    enum Turn { OPEN, ASKED, AWAY }
-
-    /** Wraps an accepted socket. */
-    LineClient(Socket socket, Timers timers, LineTry tries, LineRelay relay) throws IOException {
-        super(socket);
+    /** A client that has asked, with what it has said behind its first line. */
+    LineClient(Socket socket, byte[] rest, Timers timers, LineTry tries, LineRelay relay) throws IOException {
+        super(socket, rest);
         this.timers = timers;
         this.tries = tries;
         this.relay = relay;
     }
 
-    /** Its first line has come; false where it was turned away in that moment, and has its answer. */
-    boolean asks(OpenLine line) {
+    /** Its first line has come. */
+    void asks(OpenLine line) {
         open = line;
-        return turn.compareAndSet(Turn.OPEN, Turn.ASKED);
-    }
-
-    /** It is to be turned away without a request; true for the one caller that may tell it so. */
-    boolean turnsAway() {
-        return turn.compareAndSet(Turn.OPEN, Turn.AWAY);
-    }
-
-    /** Whether it has a request, which ends in a way of its own. */
-    boolean hasAsked() {
-        return turn.get() == Turn.ASKED;
     }
 
     /** Its first line. */
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -29,8 +29,11 @@
     private final Peers peers;
     private final Book book;
     private final LineRelay relay;
+    private final ThreadBudget threads;
 
-    LineTry(Configuration config, MonotonicClock clock, Peers peers, Book book, LineRelay relay) {
+    LineTry(Configuration config, MonotonicClock clock, Peers peers, Book book, LineRelay relay,
+            ThreadBudget threads) {
+        this.threads = threads;
         this.config = config;
         this.clock = clock;
         this.peers = peers;
@@ -40,7 +43,7 @@
 
     /** Makes the try on a thread of its own. */
     void attempt(Try begun, Instant until) {
-        if (!Threads.start("try", () -> run(begun, until))) {
+        if (!threads.start("try", () -> run(begun, until))) {
             book.ended(begun, Outcome.UNREACHABLE);
         }
     }
@@ -125,7 +128,7 @@
 
     /** Sends a connection that was open before the relay started back to its backend, until it stands. */
     void restore(RequestContext context, String uid) {
-        if (!Threads.start("restore", () -> keepRestoring(context, uid))) {
+        if (!threads.start("restore", () -> keepRestoring(context, uid))) {
             book.fail(context);
         }
     }
--- a/relay/src/main/java/saltstage/stage/TakeIn.java
+++ b/relay/src/main/java/saltstage/stage/TakeIn.java
@@ -1,39 +1,55 @@
 package saltstage.stage;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import saltstage.log.Log;
 import saltstage.memory.RequestContext;
 import saltstage.memory.Try;
 import saltstage.wire.MalformedException;
 import saltstage.wire.OpenLine;
 
-/** Takes clients in: reads the first line, answers PING, turns bad input away, carries what clients send. */
-public final class TakeIn implements Front {
-    /** A client that has sent no whole first line by then has nothing to say; 3 s is what it is owed. */
-    private static final Duration FIRST_LINE = Duration.ofSeconds(2);
-
+/** Takes clients in: judges first lines, answers PING, turns bad input away, carries what clients send. */
+public final class TakeIn implements Front, ClientAcceptor.FirstLines {
+    private final ClientAcceptor acceptor;
     private final Admit admit;
     private final Clients clients;
     private final LineRelay relay;
     private final Book book;
-    private final Doorway doorway;
+    private final ThreadBudget threads;
+    private final LinkedBlockingQueue<Request> asked = new LinkedBlockingQueue<>();
+    private final Queue<OpenLine> parsed = new java.util.ArrayDeque<>();
+    /** Requests that have been heard and are not admitted yet. */
+    private final AtomicInteger arriving = new AtomicInteger();
     private volatile boolean leaving;
 
-    /** Makes a client of an accepted socket. */
+    /** A client that has asked, with its request. */
+    private record Request(PendingClient client, OpenLine line) { }
+
+    /** Makes a client of a connection that has asked, with what it has said behind its first line. */
     interface Clients {
         /** The client. */
-        LineClient of(Socket socket) throws IOException;
+        LineClient of(PendingClient asking) throws IOException;
     }
 
-    TakeIn(Doorway doorway, Admit admit, Clients clients, LineRelay relay, Book book) {
-        this.doorway = doorway;
+    TakeIn(int room, Admit admit, Clients clients, LineRelay relay, Book book, ThreadBudget threads) {
+        acceptor = new ClientAcceptor(room, this);
         this.admit = admit;
         this.clients = clients;
         this.relay = relay;
         this.book = book;
+        this.threads = threads;
+    }
+
+    /** Where connections are accepted. */
+    public ClientAcceptor acceptor() {
+        return acceptor;
+    }
+
+    /** Starts what takes requests over from the acceptor, which may not wait for the start of threads. */
+    public void start() {
+        Threads.loop("starter", () -> begin(asked.take()));
     }
 
     /** From now on PING is not answered with PONG: the front shall look elsewhere. */
@@ -44,94 +60,139 @@
 
     @Override
     public void turnAway() {
-        for (LineClient client : doorway.all()) {
-            if (client.turnsAway()) {
-                book.tell(client, "BUSY");
-                client.endSending(); // its thread reads on: a close over unread bytes would take this back
+        acceptor.turnAway();
+    }
+
+    /** How many clients are connected, with a request and without. */
+    @Override
+    public int clients() {
+        return requests() + arriving.get() + acceptor.size();
+    }
+
+    /** How many requests wait or stand. */
+    @Override
+    public int requests() {
+        return admit.requests();
+    }
+
+    // ---- on the acceptor's thread
+
+    @Override
+    public boolean heard(PendingClient client, byte[] piece) {
+        try {
+            String line = OpenLine.text(piece);
+            if (!line.equals("PING")) {
+                parsed.add(OpenLine.parse(line));
+                arriving.incrementAndGet();
+                return true;
+            }
+            if (client.hasBegunLine()) {
+                throw new MalformedException(Book.ONE_LINE);
             }
+            client.send(leaving ? "ERR leaving" : "PONG");
+        } catch (MalformedException bad) {
+            // Bad input must cost one line, be seen in the log and never reach a backend.
+            turnAway(client, "client.malformed", "ERR " + bad.getMessage());
+        } catch (IOException gone) {
+            turnAway(client, "client.broken", "ERR " + gone.getMessage());
+        }
+        return false;
+    }
+
+    @Override
+    public void asked(PendingClient client) {
+        asked.add(new Request(client, parsed.remove())); // lines are parsed in the order of this
+    }
+
+    @Override
+    public void late(PendingClient client) {
+        // Who has said nothing may ask in this moment: that it was refused is true of what it asks too.
+        turnAway(client, "client.silent", client.hasBegunLine() ? "ERR first line too slow" : "BUSY");
+    }
+
+    @Override
+    public void evicted(PendingClient client) {
+        Log.warn("doorway.full", "from", client.remote());
+        try {
+            client.send(admit.busy());
+        } catch (IOException gone) {
+            Log.info("client.broken", "why", gone.getMessage());
         }
     }
 
-    /** Takes an accepted socket; never blocks. */
-    public void accept(Socket socket) throws IOException {
+    @Override
+    public void turnedAway(PendingClient client) {
+        acceptor.answer(client, "BUSY");
+    }
+
+    private void turnAway(PendingClient client, String event, String answer) {
+        Log.warn(event, "from", client.remote(), "answer", answer);
+        acceptor.answer(client, answer);
+    }
+
+    // ---- on the starter's thread
+
+    private void begin(Request request) throws IOException {
         LineClient client;
         try {
-            client = clients.of(socket);
-        } catch (IOException reset) { // it left while it waited to be accepted
-            socket.close();
+            client = clients.of(request.client());
+        } catch (IOException gone) {
+            request.client().close();
+            arriving.decrementAndGet();
             return;
         }
-        LineClient out = doorway.enter(client);
-        if (out != null) {
-            Log.warn("doorway.full", "from", out.remote());
-            admit.turnAway(out);
-        }
-        if (!Threads.start("client", () -> serve(client))) {
-            doorway.leave(client);
-            admit.turnAway(client);
+        if (!threads.tryAcquire()) {
+            refuse(client);
+        } else if (!threads.start("client", () -> serve(client, request.line()))) {
+            threads.release();
+            refuse(client);
         }
     }
 
-    private void serve(LineClient client) throws InterruptedException {
+    /** There is no thread for this request: it is told to come again. */
+    private void refuse(LineClient client) {
+        book.refusedForThreads();
+        book.tell(client, admit.busy());
+        client.endSending();
+        acceptor.seeOff(client.channel());
+        arriving.decrementAndGet();
+    }
+
+    // ---- on the client's thread
+
+    private void serve(LineClient client, OpenLine line) throws InterruptedException {
         RequestContext context = null;
         try {
-            context = firstLine(client);
-            if (context != null) {
+            context = admitOrTurnAway(client, line);
+            if (context != null && context.phase() == RequestContext.Phase.ENDED) {
+                acceptor.seeOff(client.channel()); // answered at once
+            } else if (context != null) {
                 carry(client, context);
             }
         } catch (IOException gone) {
             Log.info("client.broken", "why", gone.getMessage());
-        } finally {
             client.close();
-            doorway.leave(client);
+        } finally {
             if (context != null) {
+                book.fail(context); // no fault of ours may leave it without an answer
                 admit.release(context);
             }
+            threads.release();
         }
     }
 
-    /** How many clients are connected, with a request and without. */
-    @Override
-    public int clients() {
-        return requests() + doorway.size();
-    }
-
-    /** How many requests wait or stand. */
-    @Override
-    public int requests() {
-        return admit.requests();
-    }
-
-    private RequestContext firstLine(LineClient client) throws IOException {
+    private RequestContext admitOrTurnAway(LineClient client, OpenLine line) throws IOException {
         try {
-            while (true) {
-                byte[] piece = client.lines().next(FIRST_LINE);
-                if (piece == null) {
-                    return null;
-                }
-                String line = OpenLine.text(piece);
-                if (!line.equals("PING")) {
-                    RequestContext context = admit.admit(client, OpenLine.parse(line));
-                    if (context == null) { // turned away in that moment: what it asks has its answer
-                        client.endAnswered(Book.LINGER, Book.MOST_IGNORED);
-                    }
-                    doorway.leave(client);
-                    return context;
-                }
-                if (client.lines().midLine()) {
-                    throw new MalformedException(Book.ONE_LINE);
-                }
-                client.send(leaving ? "ERR leaving" : "PONG");
-            }
-        } catch (SocketTimeoutException slow) {
-            // Who has said nothing may ask in this moment: that it was refused is true of what it asks too.
-            book.turnAway(client, "client.silent",
-                client.lines().midLine() ? "ERR first line too slow" : "BUSY");
+            return admit.admit(client, line);
         } catch (MalformedException bad) {
-            // Bad input must cost one line, be seen in the log and never reach a backend.
-            book.turnAway(client, "client.malformed", "ERR " + bad.getMessage());
+            Log.warn("client.malformed", "from", client.remote(), "answer", "ERR " + bad.getMessage());
+            book.tell(client, "ERR " + bad.getMessage());
+            client.endSending();
+            acceptor.seeOff(client.channel());
+            return null;
+        } finally {
+            arriving.decrementAndGet();
         }
-        return null;
     }
 
     /** Reads the client to its end; the connection must not be closed while the other side may still send. */
@@ -144,7 +205,8 @@
                     book.failEarly(context); // it has not waited for its answer
                 }
                 if (context.phase() != RequestContext.Phase.STANDING) {
-                    client.endAnswered(Book.LINGER, Book.MOST_IGNORED);
+                    client.endSending();
+                    acceptor.seeOff(client.channel());
                     return;
                 }
                 relay.toBackend(context.current(), piece);
@@ -161,5 +223,6 @@
             relay.clientEnded(current, reset);
         }
         context.awaitEnd();
+        client.close();
     }
 }
--- a/relay/src/main/java/saltstage/stage/Threads.java
+++ b/relay/src/main/java/saltstage/stage/Threads.java
@@ -16,15 +16,23 @@
         void run() throws Exception;
     }
 
-    /** Starts a thread; false where the machine has none left. */
+    /** Starts a thread; false, and a line in the log, where the machine has none left. */
     public static boolean start(String name, Work work) {
+        boolean started = tryStart(name, work);
+        if (!started) {
+            Log.warn("threads.exhausted", "thread", name);
+        }
+        return started;
+    }
+
+    /** Starts a thread; false where the machine has none left. */
+    static boolean tryStart(String name, Work work) {
         try {
             Thread thread = new Thread(null, () -> guarded(name, work), name, STACK_BYTES);
             thread.setDaemon(true);
             thread.start();
             return true;
         } catch (OutOfMemoryError none) { // what the JVM says when the system refuses it a thread
-            Log.warn("threads.exhausted", "thread", name);
             return false;
         }
     }
--- a/relay/src/main/java/saltstage/wire/LineConnection.java
+++ b/relay/src/main/java/saltstage/wire/LineConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
@@ -13,9 +14,14 @@
 
     /** Wraps a connected socket. */
     public LineConnection(Socket socket) throws IOException {
+        this(socket, new byte[0]);
+    }
+
+    /** Wraps a connected socket of which these bytes have been read already. */
+    public LineConnection(Socket socket, byte[] read) throws IOException {
         socket.setTcpNoDelay(true);
         this.socket = socket;
-        lines = new LineReader(socket);
+        lines = new LineReader(socket, read);
     }
 
     /** Connects within the limit; every failure to do so is an IOException. */
@@ -40,39 +46,9 @@
         return lines;
     }
 
-    /** Whether something has come that no thread has read yet. */
-    public boolean hasUnread() {
-        try {
-            return socket.getInputStream().available() > 0;
-        } catch (IOException ended) {
-            return false;
-        }
-    }
-
-    /**
-     * Ends politely what was answered: half-closes and reads away what still comes, since a close with unread
-     * input resets the connection and may take the answer with it. Who sends on and on is cut off: to read
-     * it all would cost the one core more than an honest client ever does.
-     */
-    public void endAnswered(Duration most, int mostBytes) {
-        endSending();
-        long until = System.nanoTime() + most.toNanos();
-        byte[] ignored = new byte[4096];
-        try {
-            int read = 0;
-            for (int bytes = 0; read >= 0 && bytes < mostBytes; bytes += read) {
-                long left = (until - System.nanoTime()) / 1_000_000;
-                if (left <= 0) {
-                    break;
-                }
-                socket.setSoTimeout((int) left);
-                read = socket.getInputStream().read(ignored);
-            }
-        } catch (IOException over) { // reset, or silent to the end: nothing more to wait for
-            return;
-        } finally {
-            close();
-        }
+    /** The channel of an accepted connection. */
+    public SocketChannel channel() {
+        return socket.getChannel();
     }
 
     /** Who is at the other end, for the log. */
--- a/relay/src/main/java/saltstage/wire/LineReader.java
+++ b/relay/src/main/java/saltstage/wire/LineReader.java
@@ -16,15 +16,17 @@
 
     private final Socket socket;
     private final InputStream in;
-    private byte[] buffer = new byte[FIRST_SIZE];
+    private byte[] buffer;
     private int start;
     private volatile int end;
     private boolean over;
 
-    /** A reader of all that comes from this socket. */
-    public LineReader(Socket socket) throws IOException {
+    /** A reader of all that comes from this socket, behind these bytes that were read before. */
+    public LineReader(Socket socket, byte[] read) throws IOException {
         this.socket = socket;
         in = socket.getInputStream();
+        buffer = Arrays.copyOf(read, Math.max(FIRST_SIZE, read.length));
+        end = read.length;
     }
 
     /** The next piece, waiting as long as it takes; see {@link #next(Duration)}. */
