A client that speaks while its answer is being written still hears it

Cause: who ends a request marks it ended and then writes the answer. The client's own thread, when it saw the mark (the client spoke, or the request had just been admitted), half-closed the connection, or gave it back to the acceptor, before the answer was written: BUSY or ERR was lost. Change: LineClient tells when its answer is written; the client's thread waits for that before it hangs up. Test: clientThatSpeaksWhileItsAnswerIsWrittenStillHearsIt halts the write of BUSY while the client speaks. Why it works: the connection is given away only by a thread that has seen the answer out.

--- a/relay/src/main/java/saltstage/memory/RequestContext.java
+++ b/relay/src/main/java/saltstage/memory/RequestContext.java
@@ -12,6 +12,7 @@
     private final Instant deadline;
     private final ClientConnection client;
     private Phase phase = Phase.WAITING;
+    private boolean hasStood;
     private Try current;
     private Instant mayHaveRunSince;
 
@@ -78,9 +79,15 @@
             return false;
         }
         phase = Phase.STANDING;
+        hasStood = true;
         return true;
     }
 
+    /** Whether it ever stood at a backend: its client then has its UP. */
+    public synchronized boolean hasStood() {
+        return hasStood;
+    }
+
     /** Ends it; true for the one caller that may say how. */
     public synchronized boolean end(Phase from) {
         if (phase != from) {
--- a/relay/src/main/java/saltstage/stage/LineClient.java
+++ b/relay/src/main/java/saltstage/stage/LineClient.java
@@ -4,6 +4,8 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import saltstage.log.Log;
 import saltstage.memory.ClientConnection;
 import saltstage.memory.Timers;
@@ -16,6 +18,7 @@
     private final Timers timers;
     private final LineTry tries;
     private final LineRelay relay;
+    private final CountDownLatch answered = new CountDownLatch(1);
     private volatile OpenLine open;
 
     /** A client that has asked, with what it has said behind its first line. */
@@ -57,11 +60,25 @@
             send(line);
         } catch (IOException gone) {
             Log.info("client.broken", "why", gone.getMessage());
+        } finally {
+            endSending();
+            answered.countDown();
         }
-        endSending();
         timers.after(Book.LINGER, this::close);
     }
 
+    /** Whether its final answer, one that is not UP, has been written: nobody writes any more. */
+    boolean isAnswered() {
+        return answered.getCount() == 0;
+    }
+
+    /** Waits until whoever has ended the request has written the answer. */
+    void awaitAnswer() throws InterruptedException {
+        if (!answered.await(Book.LINGER.toMillis(), TimeUnit.MILLISECONDS)) {
+            Log.warn("answer.late", "id", open.id());
+        }
+    }
+
     @Override
     public void attempt(Try begun, Instant until) {
         tries.attempt(begun, until);
--- a/relay/src/main/java/saltstage/stage/TakeIn.java
+++ b/relay/src/main/java/saltstage/stage/TakeIn.java
@@ -164,8 +164,8 @@
         RequestContext context = null;
         try {
             context = admitOrTurnAway(client, line);
-            if (context != null && context.phase() == RequestContext.Phase.ENDED) {
-                acceptor.seeOff(client.channel()); // answered at once
+            if (context != null && client.isAnswered()) {
+                acceptor.seeOff(client.channel());
             } else if (context != null) {
                 carry(client, context);
             }
@@ -195,6 +195,15 @@
         }
     }
 
+    /** Its request has ended, by whatever thread: that one may still be writing the answer. */
+    private void seeOff(LineClient client, RequestContext context) throws InterruptedException {
+        if (!context.hasStood()) {
+            client.awaitAnswer();
+        }
+        client.endSending();
+        acceptor.seeOff(client.channel());
+    }
+
     /** Reads the client to its end; the connection must not be closed while the other side may still send. */
     private void carry(LineClient client, RequestContext context) throws InterruptedException {
         boolean reset = false;
@@ -205,8 +214,7 @@
                     book.failEarly(context); // it has not waited for its answer
                 }
                 if (context.phase() != RequestContext.Phase.STANDING) {
-                    client.endSending();
-                    acceptor.seeOff(client.channel());
+                    seeOff(client, context);
                     return;
                 }
                 relay.toBackend(context.current(), piece);
--- a/relay/src/test/java/saltstage/process/CrossingTest.java
+++ b/relay/src/test/java/saltstage/process/CrossingTest.java
@@ -463,6 +463,26 @@
         assertNull(client.line().hear());
     }
 
+    @Test
+    void clientThatSpeaksWhileItsAnswerIsWrittenStillHearsIt() throws Exception {
+        Client client = client();
+        client.line().say("OPEN j1 k c=chat,t=acme,d=50000");
+        assertTrue(backend.accept().hear().startsWith("OPEN j1"));
+        CountDownLatch hungUp = new CountDownLatch(1);
+        client.atRelay().halt = step -> {
+            if (step.equals("half-close")) {
+                hungUp.countDown();
+            } else if (step.equals("BUSY")) {
+                client.line().say("M 1 early");
+                long since = System.nanoTime();
+                until(() -> hungUp.getCount() == 0 || System.nanoTime() - since > 200_000_000);
+            }
+        };
+        chain.rejectWaiting();
+        assertEquals("BUSY", client.line().hear());
+        assertNull(client.line().hear());
+    }
+
     @Test
     void whatIsOutAtTheEndIsGivenUpAndRefusedOnlyWhereThatIsHarmless() throws Exception {
         for (String effect : new String[] {"retryable", "fragile", "dedup", "dedup\",\"Group\":\"zone"}) {
