Probes: one thread and at most 128 connections, whatever the width of the fleet

Cause: a thread and a standing connection for each listed backend, before the first client came. At 1,440 backends they took the 512 threads and the descriptors of the platform within a second: accept met EMFILE, client and restore threads were refused, discovery was not asked. Class: a cost bounded by the number of backends, and counted by nobody. Change: Probe asks over connections that do not block, on one thread. In a fleet of over 128 the module probes the backends that hold its connections, that requests were lately considered for, that are cold or that have failed, at most 128 (Api.MOST_PROBED); up to 128 nothing changes.

--- a/relay/src/main/java/saltstage/Api.java
+++ b/relay/src/main/java/saltstage/Api.java
@@ -11,6 +11,8 @@
 public final class Api {
     /** Stands for a key, group, hint or other number that was not given. */
     public static final long NONE = -1;
+    /** How many servers a node probes at most, however many are listed. */
+    public static final int MOST_PROBED = 128;
 
     private Api() {
     }
--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -44,6 +44,8 @@
     private static final double EASED = 0.8; // down to here a jammed one is relieved: what piled up must go
     private static final double ROOM = 0.7; // of the fleet: a jammed server's clients have where to go
     private static final long PROBE_STEP = 250_000;
+    private static final long CONSIDERED = 10_000_000; // after a request might have gone there
+    private static final int NO_CONCERN = 3;
     private static final double LATE_GAIN = 0.25; // each step: reports are about a second old when they come
     private static final double RELIEF = 0.6; // of what is too much moved at each probe: reports are late
     // Overload
@@ -75,6 +77,8 @@
     private double highW;
     private int refusals;
     private double placed;
+    private List<Host> probed = List.of(); // in a fleet that is too wide to probe all
+    private long probedChosen = Long.MIN_VALUE / 2;
     private final Set<Host> met = new LinkedHashSet<>(); // a node that sees little ranks little
     private final Map<Long, Integer> groups = new HashMap<>();
     private Map<Long, Double> remembered = Map.of();
@@ -284,7 +288,7 @@
         } else if (token.equals("probe")) {
             act.timer("probe", PROBE_STEP);
             hosts.values().forEach(h -> h.placedLately += LATE_GAIN * (h.placed - h.placedLately));
-            hosts.values().stream().filter(h -> now >= h.probeAt && h.ready()).forEach(this::probe);
+            probed().stream().filter(h -> now >= h.probeAt && h.ready()).forEach(this::probe);
         } else if (held.containsKey(Long.parseLong(token))) {
             finish(held.get(Long.parseLong(token)));
         }
@@ -309,6 +313,33 @@
         }
     }
 
+    /** Those that this node probes: all of them, or in a wide fleet those that matter to it. */
+    private Collection<Host> probed() {
+        if (hosts.size() <= Api.MOST_PROBED) {
+            return hosts.values();
+        }
+        if (now - probedChosen >= PERIOD) {
+            probedChosen = now;
+            probed = hosts.values().stream().filter(h -> concern(h) < NO_CONCERN)
+                .sorted(Comparator.comparingInt(this::concern)
+                    .thenComparing(Comparator.comparingLong((Host h) -> h.consideredAt).reversed())
+                    .thenComparingLong(h -> h.hash))
+                .limit(Api.MOST_PROBED).toList();
+        }
+        return probed;
+    }
+
+    /** How little a server matters here: it holds connections, may get the next, is cold or has failed. */
+    private int concern(Host h) {
+        if (!h.open.isEmpty()) {
+            return 0;
+        }
+        if (now - h.consideredAt < CONSIDERED) {
+            return 1;
+        }
+        return warmth(h) < 1 || h.strikes > 0 ? 2 : NO_CONCERN;
+    }
+
     private void probe(Host h) {
         boolean watched = jammed(h) || warmth(h) < 1 || reported(h) && h.asked() > BUSY;
         h.probeAt = now + (watched ? PROBE_BUSY : PROBE_CALM);
@@ -459,6 +490,7 @@
             if (!fit) {
                 continue;
             }
+            h.consideredAt = now;
             if (first == null) {
                 first = h;
                 count(h, c);
@@ -602,7 +634,8 @@
     /** The mean load asked of the servers that report; unknown where most do not. */
     private double fleetAsked() {
         double[] asked = members.stream().filter(this::reported).mapToDouble(Host::asked).toArray();
-        return asked.length * 2 > members.size() ? Arrays.stream(asked).average().orElse(0) : Api.NONE;
+        boolean most = asked.length * 2 > Math.min(members.size(), Api.MOST_PROBED);
+        return most ? Arrays.stream(asked).average().orElse(0) : Api.NONE;
     }
 
     /** Where a request stands among all, 0 the first to go: by worth, then by key, at all nodes alike. */
--- a/relay/src/main/java/saltstage/State.java
+++ b/relay/src/main/java/saltstage/State.java
@@ -86,6 +86,7 @@
         double can; // about, in units of load; 0 where nothing tells
         long askedAt = Long.MIN_VALUE / 2;
         long probeAt = Long.MIN_VALUE / 2;
+        long consideredAt = Long.MIN_VALUE / 2; // for a request
         int strikes;
         boolean doubtful; // what it set up last did not stand
         long shunUntil = Long.MIN_VALUE / 2;
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -52,7 +52,8 @@
         route = new Route(config, clock, timers, effects(send, probe, watch), peers::suspended);
         book.route(route);
         probe.route(route);
-        probedPeers = () -> config.settings().probes() ? peers.all().size() : 0;
+        probedPeers = () -> config.settings().probes()
+            ? Math.min(peers.all().size(), Probe.MOST_CONNECTIONS) : 0;
         descriptors = config.sockets();
         admit = new Admit(config, clock, timers, route, tries, book);
         takeIn = new TakeIn(Admit.doorway(config.sockets()), admit,
@@ -145,7 +146,7 @@
     /** So many descriptors are this process's; said again while another one takes part of them. */
     public void descriptors(int most) {
         descriptors = most;
-        int left = most - probedPeers.getAsInt(); // each backend that is asked for its load holds one
+        int left = most - probedPeers.getAsInt(); // connections for probes
         admit.descriptors(left);
         takeIn.acceptor().room(Admit.doorway(left));
     }
--- a/relay/src/main/java/saltstage/stage/Probe.java
+++ b/relay/src/main/java/saltstage/stage/Probe.java
@@ -1,33 +1,40 @@
 package saltstage.stage;
 
 import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import saltstage.Api;
 import saltstage.Api.Outcome;
 import saltstage.log.Log;
 import saltstage.memory.Peer;
 import saltstage.memory.Peers;
-import saltstage.wire.LineConnection;
 import saltstage.wire.LoadReport;
 import saltstage.wire.MalformedException;
 
 /**
- * Asks backends for their load. Each has one connection for it that stays open, as a new one costs the
- * backend time and work, and one thread that ends with the process it asks.
+ * Asks backends for their load, all of them on one thread. Each has one connection that stays open, as a new
+ * one costs the backend time and work; however many backends are listed, only so many connections are kept.
  */
 final class Probe {
+    /** Also what the module asks at most; whoever was not asked for the longest time gives way. */
+    static final int MOST_CONNECTIONS = Api.MOST_PROBED;
     private static final Duration LIMIT = Duration.ofMillis(250);
-    private static final long LOOK_S = 5; // for whether the process is still listed
+    /** How often connections to backends that are not listed any more are looked for. */
+    private static final Duration LOOK = Duration.ofSeconds(5);
 
     private final Peers peers;
     private final ThreadStarter threads;
-    /** Of each backend that has a thread; whoever has none is not in here. */
-    private final Map<Peer, Semaphore> wanted = new ConcurrentHashMap<>();
+    private final Queue<Peer> wanted = new ConcurrentLinkedQueue<>();
+    private final Map<Peer, ProbeConnection> connections = new LinkedHashMap<>();
     private Route route;
+    private Selector selector;
+    private boolean running;
 
     /** Starts a thread, as {@link Threads#start} does. */
     interface ThreadStarter {
@@ -49,84 +56,166 @@
     }
 
     /**
-     * Asks a backend soon; one that has not answered yet is not asked twice. Where no thread could be had for
-     * it, or its thread has ended by a fault, the next call tries to start one.
+     * Asks a backend soon; one that has not answered yet is not asked twice. Where no thread could be had, or
+     * it has ended by a fault, the next call tries to start one.
      */
     void ask(String uid) {
         Peer peer = peers.find(uid);
         if (peer == null) {
             return;
         }
-        Semaphore asked = wanted.computeIfAbsent(peer, this::begin);
-        if (asked != null) {
-            asked.release();
-        }
+        wanted.add(peer);
+        wakeUp();
     }
 
-    /** The signal of the thread that was started; null where none could be had: nothing is kept then. */
-    private Semaphore begin(Peer peer) {
-        Semaphore asked = new Semaphore(0);
-        if (threads.start("probe", () -> run(peer, asked))) {
-            return asked;
+    private synchronized void wakeUp() {
+        if (running) {
+            selector.wakeup();
+            return;
+        }
+        try {
+            selector = Selector.open();
+            running = threads.start("probes", this::run);
+        } catch (IOException none) {
+            running = false;
+        }
+        if (!running) {
+            wanted.clear();
+            Log.warn("probe.none"); // loads count as unknown, as without probes
         }
-        Log.warn("probe.none", "peer", peer.entry().uid()); // it counts as unknown, as without probes
-        return null;
     }
 
-    private void run(Peer peer, Semaphore asked) throws InterruptedException {
-        LineConnection line = null;
+    private void run() throws IOException {
         try {
-            while (!peer.ended()) {
-                if (asked.tryAcquire(LOOK_S, TimeUnit.SECONDS)) {
-                    asked.drainPermits();
-                    if (!peer.suspended()) {
-                        line = probe(peer, line);
-                    }
-                }
+            while (true) {
+                round();
             }
         } finally {
-            wanted.remove(peer);
-            close(line);
+            synchronized (this) {
+                running = false;
+                connections.values().forEach(ProbeConnection::close);
+                connections.clear();
+                selector.close();
+            }
+        }
+    }
+
+    private void round() throws IOException {
+        selector.select(millisToWait());
+        for (SelectionKey key : List.copyOf(selector.selectedKeys())) {
+            advance((ProbeConnection) key.attachment());
+        }
+        selector.selectedKeys().clear();
+        for (Peer peer = wanted.poll(); peer != null; peer = wanted.poll()) {
+            begin(peer);
+        }
+        endOverdue();
+    }
+
+    private long millisToWait() {
+        long least = LOOK.toNanos();
+        for (ProbeConnection connection : connections.values()) {
+            least = connection.isAsked() ? Math.min(least, connection.nanosLeft()) : least;
         }
+        return Math.max(1, least / 1_000_000 + 1);
     }
 
-    /** One probe; returns the connection for the next one, or null. */
-    private LineConnection probe(Peer peer, LineConnection open) {
-        LineConnection line = open;
-        Outcome outcome = Outcome.UNREACHABLE;
-        double asked = Api.NONE;
+    private void begin(Peer peer) {
+        ProbeConnection open = connections.remove(peer);
+        if (open != null) {
+            connections.put(peer, open); // to the end of the order
+        }
+        if (peer.ended() || peer.suspended() || open != null && open.isAsked()) {
+            return;
+        }
         try {
-            byte[] piece = line == null ? null : answer(line);
-            if (piece == null) { // the first, or the backend has closed it as idle
-                close(line);
-                line = LineConnection.open(peer.entry().endpoint(), LIMIT);
-                piece = answer(line);
+            if (open != null) {
+                open.ask(LIMIT);
+                return;
+            }
+        } catch (IOException closedAsIdle) {
+            end(open);
+        }
+        connect(peer);
+    }
+
+    private void connect(Peer peer) {
+        if (connections.size() >= MOST_CONNECTIONS && !makeRoom()) {
+            return; // all are awaited: this one is asked at its next turn
+        }
+        try {
+            connections.put(peer, new ProbeConnection(peer, selector, LIMIT));
+        } catch (IOException refused) {
+            route.probed(peer.entry().uid(), Outcome.TIMEOUT, Api.NONE);
+        }
+    }
+
+    private boolean makeRoom() {
+        for (ProbeConnection connection : connections.values()) {
+            if (!connection.isAsked()) {
+                end(connection);
+                return true;
             }
-            LoadReport report = piece == null ? null : LoadReport.of(piece);
-            outcome = report != null ? Outcome.SERVED : piece == null ? Outcome.RESET : Outcome.ERROR;
-            asked = report == null ? Api.NONE : report.field("x0");
-        } catch (MalformedException bad) {
-            Log.warn("probe.malformed", "peer", peer.entry().uid(), "why", bad.getMessage());
-            outcome = Outcome.ERROR;
-        } catch (IOException broken) {
-            outcome = Outcome.TIMEOUT;
         }
-        if (outcome != Outcome.SERVED) {
-            close(line);
-            line = null;
+        return false;
+    }
+
+    private void advance(ProbeConnection connection) {
+        boolean wasAsked = connection.isAsked();
+        try {
+            byte[] line = connection.advance(LIMIT);
+            if (line != null) {
+                answered(connection, wasAsked, line);
+            }
+        } catch (ProbeConnection.EndedException ended) {
+            end(connection);
+            if (wasAsked && connection.hasAnsweredBefore()) { // closed as idle while it was asked again
+                connect(connection.peer());
+            } else if (wasAsked) {
+                tell(connection, Outcome.RESET, Api.NONE);
+            }
+        } catch (IOException broken) {
+            end(connection);
+            if (wasAsked) {
+                tell(connection, Outcome.TIMEOUT, Api.NONE);
+            }
         }
-        route.probed(peer.entry().uid(), outcome, asked);
-        return line;
     }
 
-    private static byte[] answer(LineConnection line) throws IOException {
-        line.send("STATS");
-        return line.lines().next(LIMIT);
+    private void answered(ProbeConnection connection, boolean wasAsked, byte[] line) {
+        double load = Api.NONE;
+        try {
+            LoadReport report = LoadReport.of(line);
+            load = report == null ? Api.NONE : report.field("x0");
+        } catch (MalformedException bad) {
+            Log.warn("probe.malformed", "peer", connection.peer().entry().uid(), "why", bad.getMessage());
+        }
+        boolean reported = wasAsked && load != Api.NONE;
+        if (!reported) {
+            end(connection);
+        }
+        if (wasAsked) {
+            tell(connection, reported ? Outcome.SERVED : Outcome.ERROR, load);
+        }
     }
 
-    private static void close(LineConnection line) {
-        if (line != null) {
-            line.close();
+    private void endOverdue() {
+        for (ProbeConnection connection : List.copyOf(connections.values())) {
+            if (connection.peer().ended()) {
+                end(connection);
+            } else if (connection.isAsked() && connection.nanosLeft() <= 0) {
+                end(connection);
+                tell(connection, Outcome.TIMEOUT, Api.NONE);
+            }
         }
     }
+
+    private void end(ProbeConnection connection) {
+        connections.remove(connection.peer(), connection);
+        connection.close();
+    }
+
+    private void tell(ProbeConnection connection, Outcome outcome, double load) {
+        route.probed(connection.peer().entry().uid(), outcome, load);
+    }
 }
