--- a/relay/src/main/java/saltstage/stage/Admit.java
+++ b/relay/src/main/java/saltstage/stage/Admit.java
@@ -62,6 +62,24 @@
         return (sockets - RESERVED_SOCKETS - doorway(sockets)) / 2;
     }
 
+    /**
+     * Whether a request is refused as there is no room for it beside those that are admitted and so many that
+     * are about to be: the last descriptors are for the backends of those that are already here.
+     */
+    boolean refuses(OpenLine line, int arriving) throws MalformedException {
+        if (open.size() + arriving < requests(sockets - reserved)) {
+            return false;
+        }
+        int serviceClass = config.serviceClass(line.field("c"));
+        logFull();
+        book.refusedAtOnce(serviceClass);
+        return true;
+    }
+
+    private void logFull() {
+        Log.warn("admit.full", "requests", open.size(), "sockets", sockets);
+    }
+
     /** Admits a request and has it routed. */
     RequestContext admit(LineClient client, OpenLine line) throws MalformedException, IOException {
         Instant now = clock.now();
@@ -87,8 +105,7 @@
             context.end(RequestContext.Phase.WAITING);
             book.left(context);
         } else if (open.size() > requests(sockets - reserved)) {
-            // The last descriptors are for the backends of those that are already here.
-            Log.warn("admit.full", "requests", open.size(), "sockets", sockets);
+            logFull();
             book.reject(context, config.longestRetryAfter());
         } else if (at != null) {
             tries.restore(context, at);
--- a/relay/src/main/java/saltstage/stage/Book.java
+++ b/relay/src/main/java/saltstage/stage/Book.java
@@ -21,6 +21,7 @@
 import saltstage.memory.RequestContext.Phase;
 import saltstage.memory.Try;
 import saltstage.metrics.Counts;
+import saltstage.metrics.ProcessUsage;
 import saltstage.wire.Answer;
 
 /** Books what became of requests: the one final answer, the outcome for the module, loads and delays. */
@@ -59,6 +60,13 @@
         taken.incrementAndGet();
     }
 
+    /** A request was refused before it was admitted, as there was no room for it. */
+    void refusedAtOnce(int serviceClass) {
+        taken.incrementAndGet();
+        rejected.incrementAndGet();
+        counts.ended(serviceClass, Counts.End.DROPPED);
+    }
+
     /** A request was refused before it was admitted, as there was no thread for it. */
     void refusedForThreads() {
         threadless.incrementAndGet();
@@ -241,11 +249,13 @@
         }
     }
 
-    /** Writes the totals to the log. */
-    void logTotals(int clients, Object... more) {
+    /** Writes the totals to the log; accepted: how many connections have come since the start. */
+    void logTotals(int clients, long accepted, Object... more) {
         Runtime jvm = Runtime.getRuntime();
-        Object[] pairs = {"clients", clients, "standing", standing.size(), "taken", taken, "stood", stood,
-            "rejected", rejected, "failed", failed, "left", left, "resets", resets, "threadless", threadless,
+        Object[] pairs = {"clients", clients, "accepted", accepted, "standing", standing.size(),
+            "taken", taken, "stood", stood, "rejected", rejected, "failed", failed, "left", left,
+            "resets", resets, "threadless", threadless, "threads", ProcessUsage.threads(),
+            "descriptors", ProcessUsage.descriptors(), "host_overflows", ProcessUsage.listenOverflows(),
             "heap_kb", (jvm.totalMemory() - jvm.freeMemory()) >> 10};
         Object[] all = Arrays.copyOf(pairs, pairs.length + more.length);
         System.arraycopy(more, 0, all, pairs.length, more.length);
--- a/relay/src/main/java/saltstage/stage/Chain.java
+++ b/relay/src/main/java/saltstage/stage/Chain.java
@@ -168,7 +168,8 @@
 
     /** Writes the totals to the log, with these names and values behind them. */
     public void logTotals(Object... more) {
-        book.logTotals(fronts.stream().mapToInt(Front::clients).sum(), more);
+        int clients = fronts.stream().mapToInt(Front::clients).sum();
+        book.logTotals(clients, takeIn.acceptor().accepted(), more);
     }
 
     /** The relay leaves: what still waits is answered, and may mostly come again elsewhere at once. */
--- a/relay/src/main/java/saltstage/stage/ClientAcceptor.java
+++ b/relay/src/main/java/saltstage/stage/ClientAcceptor.java
@@ -34,9 +34,13 @@
     private static final Duration LINGER = Duration.ofMillis(800);
     /** To read all that somebody sends on and on would cost more than an honest client ever does. */
     private static final int MOST_IGNORED_BYTES = 64 << 10;
+    /** Nobody has to go sooner after coming: clients ask as soon as they come. */
+    private static final Duration GRACE = Duration.ofMillis(100);
     private static final int SCRATCH_BYTES = 8 << 10;
     /** A fault that stays, as a want of descriptors, must not eat the one core. */
     private static final Duration ACCEPT_PAUSE = Duration.ofMillis(50);
+    private static final Duration ROOM_PAUSE = Duration.ofMillis(5);
+    private static final int MOST_CLOSED = 8;
     private static final Duration LAST_ACCEPT = Duration.ofMillis(300);
 
     private final FirstLines firstLines;
@@ -51,6 +55,7 @@
     private ServerSocketChannel listener;
     private SelectionKey accepting;
     private long acceptAgainAt;
+    private int closed;
     private volatile int room;
     private volatile int size;
     /** Those that were handed back and are not lingering yet. */
@@ -206,16 +211,58 @@
 
     private void accept() {
         try {
-            for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+            while (hasRoom()) {
+                SocketChannel channel = listener.accept();
+                if (channel == null) {
+                    return;
+                }
                 accepted.incrementAndGet();
                 take(channel);
+                freeDescriptors();
             }
+            pauseAccepting(System.nanoTime() + ROOM_PAUSE.toNanos());
         } catch (IOException fault) { // the platform's: descriptors, memory, a reset while queued
             Log.warn("accept.failed", "why", fault.getMessage(), "pending", pending());
-            evict();
-            accepting.interestOps(0);
-            acceptAgainAt = System.nanoTime() + ACCEPT_PAUSE.toNanos();
+            if (!lingering.isEmpty()) {
+                leave(lingering.iterator().next()); // its descriptor may be what is wanted
+            }
+            pauseAccepting(System.nanoTime() + ACCEPT_PAUSE.toNanos());
+        }
+    }
+
+    /** The descriptor of a closed channel is free only once the selector has let go of it. */
+    private void freeDescriptors() throws IOException {
+        if (closed >= MOST_CLOSED) {
+            closed = 0;
+            selector.selectNow();
+        }
+    }
+
+    private void pauseAccepting(long until) {
+        accepting.interestOps(0);
+        acceptAgainAt = until;
+    }
+
+    /** Makes room if need be: who has its answer goes first, then who has been silent the longest. */
+    private boolean hasRoom() {
+        if (pending() < room) {
+            return true;
+        }
+        if (!lingering.isEmpty()) {
+            leave(lingering.iterator().next());
+            return true;
         }
+        PendingClient first = silent.iterator().next();
+        read(first); // what it has said meanwhile may be a request
+        if (!silent.contains(first)) {
+            return true;
+        }
+        if (first.deadline() - System.nanoTime() > FIRST_LINE.minus(GRACE).toNanos()) {
+            return false; // many came at once, and it had no time yet: the others wait in the queue
+        }
+        firstLines.evicted(first);
+        leave(first);
+        return true;
     }
 
     private void take(SocketChannel channel) {
@@ -223,9 +270,6 @@
             channel.configureBlocking(false);
             channel.socket().setTcpNoDelay(true);
             PendingClient client = new PendingClient(channel);
-            if (pending() >= room) {
-                evict();
-            }
             channel.register(selector, SelectionKey.OP_READ, client);
             await(client);
         } catch (IOException reset) { // it left while it waited to be accepted
@@ -239,22 +283,6 @@
         silent.add(client);
     }
 
-    /** The one that came first must go; one that has its answer goes first of all. */
-    private void evict() {
-        if (!lingering.isEmpty()) {
-            leave(lingering.iterator().next());
-            return;
-        }
-        for (PendingClient client : List.copyOf(silent)) {
-            read(client); // what it has said meanwhile may be a request
-            if (silent.contains(client)) {
-                firstLines.evicted(client);
-                leave(client);
-                return;
-            }
-        }
-    }
-
     // ---- first lines
 
     private void read(PendingClient client) {
@@ -344,6 +372,7 @@
         silent.remove(client);
         lingering.remove(client);
         client.close();
+        closed++;
     }
 
     private static void close(SocketChannel channel) {
--- a/relay/src/main/java/saltstage/stage/LineTry.java
+++ b/relay/src/main/java/saltstage/stage/LineTry.java
@@ -128,26 +128,40 @@
 
     /** Sends a connection that was open before the relay started back to its backend, until it stands. */
     void restore(RequestContext context, String uid) {
-        if (!threads.start("restore", () -> keepRestoring(context, uid))) {
+        if (!threads.start("restore", () -> restoreOrFail(context, uid))) {
             book.fail(context);
         }
     }
 
+    private void restoreOrFail(RequestContext context, String uid) throws InterruptedException {
+        try {
+            keepRestoring(context, uid);
+        } finally {
+            book.fail(context); // where it neither stood nor ended, also by a fault
+        }
+    }
+
     private void keepRestoring(RequestContext context, String uid) throws InterruptedException {
+        String waitsFor = null;
         while (context.phase() == Phase.WAITING && clock.now().isBefore(context.deadline())) {
             Peer peer = peers.find(uid);
             Try begun = peer == null ? null : context.begin(peer, clock.now());
+            Outcome outcome = begun == null ? Outcome.MOOT : attempt(begun, context.deadline(), true);
+            if (outcome == null) {
+                relay.carry(begun);
+                return;
+            }
             if (begun != null) {
-                if (attempt(begun, context.deadline(), true) == null) {
-                    relay.carry(begun);
-                    return;
-                }
                 begun.giveUp();
             }
+            String why = peer == null ? "not listed" : outcome.name();
+            if (!why.equals(waitsFor)) {
+                Log.info("restore.waiting", "id", context.terms().name(), "peer", uid, "why", why);
+            }
+            waitsFor = why;
             Thread.sleep(RESTORE_PAUSE.toMillis());
         }
         Log.warn("restore.failed", "id", context.terms().name(), "peer", uid);
-        book.fail(context);
     }
 
     private static LineClient client(RequestContext context) {
--- a/relay/src/main/java/saltstage/stage/TakeIn.java
+++ b/relay/src/main/java/saltstage/stage/TakeIn.java
@@ -82,9 +82,7 @@
         try {
             String line = OpenLine.text(piece);
             if (!line.equals("PING")) {
-                parsed.add(OpenLine.parse(line));
-                arriving.incrementAndGet();
-                return true;
+                return asks(client, OpenLine.parse(line));
             }
             if (client.hasBegunLine()) {
                 throw new MalformedException(Book.ONE_LINE);
@@ -99,6 +97,16 @@
         return false;
     }
 
+    private boolean asks(PendingClient client, OpenLine line) throws MalformedException {
+        if (admit.refuses(line, arriving.get())) {
+            acceptor.answer(client, admit.busy());
+            return false;
+        }
+        parsed.add(line);
+        arriving.incrementAndGet();
+        return true;
+    }
+
     @Override
     public void asked(PendingClient client) {
         asked.add(new Request(client, parsed.remove())); // lines are parsed in the order of this
@@ -162,6 +170,7 @@
 
     private void serve(LineClient client, OpenLine line) throws InterruptedException {
         RequestContext context = null;
+        boolean over = false;
         try {
             context = admitOrTurnAway(client, line);
             if (context != null && client.isAnswered()) {
@@ -169,18 +178,33 @@
             } else if (context != null) {
                 carry(client, context);
             }
+            over = true;
         } catch (IOException gone) {
             Log.info("client.broken", "why", gone.getMessage());
             client.close();
+            over = true;
         } finally {
+            if (!over) {
+                failByFault(client, context);
+            }
             if (context != null) {
-                book.fail(context); // no fault of ours may leave it without an answer
                 admit.release(context);
             }
             threads.release();
         }
     }
 
+    /** A fault of ours, as a class that cannot be loaded: its client is owed an answer all the same. */
+    private void failByFault(LineClient client, RequestContext context) {
+        if (context == null) {
+            book.tell(client, "ERR failed");
+            client.endSending();
+            acceptor.seeOff(client.channel());
+        } else {
+            book.fail(context);
+        }
+    }
+
     private RequestContext admitOrTurnAway(LineClient client, OpenLine line) throws IOException {
         try {
             return admit.admit(client, line);
--- a/relay/src/test/java/saltstage/process/NarrowPlatform.java
+++ b/relay/src/test/java/saltstage/process/NarrowPlatform.java
@@ -12,6 +12,8 @@
 /** Limits of a platform for a relay under test: a shim that is loaded into it, and a descriptor limit. */
 final class NarrowPlatform {
     private static final Path SOURCE = Path.of("src/test/c/platform_limits.c");
+    /** What a JVM opens beyond the one jar of the service: the class path of the tests has many. */
+    private static final int CLASS_PATH_DESCRIPTORS = 64;
     private static Path library;
 
     private final Map<String, String> limits = new HashMap<>();
@@ -35,7 +37,7 @@
         return this;
     }
 
-    /** The process may hold at most so many descriptors. */
+    /** The process may hold at most so many descriptors, its class path aside. */
     NarrowPlatform descriptors(int most) {
         descriptors = most;
         return this;
@@ -46,8 +48,8 @@
         process.environment().putAll(limits);
         process.environment().put("LD_PRELOAD", library().toString());
         if (descriptors > 0) {
-            process.command().addAll(0,
-                List.of("/bin/sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
+            String limit = "ulimit -n " + (descriptors + CLASS_PATH_DESCRIPTORS);
+            process.command().addAll(0, List.of("/bin/sh", "-c", limit + "; exec \"$@\"", "sh"));
         }
     }
 
