--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -10,7 +10,6 @@
 /** Every decision of one node; single-threaded, its time comes with the events, its chance from the seed. */
 public final class Logic implements Api.Events {
     // The mechanism
-    private static final int SLOTS = 2048; // Maglev: odd skips visit a power of two; 7 each of 300 servers
     private static final int WINDOWS = 2; // f: the running window and the one before (paper, figure 2)
     private static final int WINDOW_ARRIVALS = 16; // N: four for each place, so that places are contested
     private static final double PERCENTILE = 0.8; // p: only the worst fifth of the servers may be left
@@ -44,8 +43,6 @@
     private static final double EASED = 0.8; // down to here a jammed one is relieved: what piled up must go
     private static final double ROOM = 0.7; // of the fleet: a jammed server's clients have where to go
     private static final long PROBE_STEP = 250_000;
-    private static final long CONSIDERED = 10_000_000; // after a request might have gone there
-    private static final int NO_CONCERN = 3;
     private static final double LATE_GAIN = 0.25; // each step: reports are about a second old when they come
     private static final double RELIEF = 0.6; // of what is too much moved at each probe: reports are late
     // Overload
@@ -66,8 +63,8 @@
     private final Mean arrival = new Mean();
     private final Mean lifetime = new Mean();
     private final double shortestAim;
-    private Host[] home = {};
-    private Host[] wide;
+    private PlacementTable home = PlacementTable.EMPTY;
+    private PlacementTable wide;
     private List<Host> members = List.of();
     private long rebuilt;
     private boolean stale = true;
@@ -77,8 +74,7 @@
     private double highW;
     private int refusals;
     private double placed;
-    private List<Host> probed = List.of(); // in a fleet that is too wide to probe all
-    private long probedChosen = Long.MIN_VALUE / 2;
+    private final ProbeSelection probed = new ProbeSelection(h -> warmth(h) < 1);
     private final Set<Host> met = new LinkedHashSet<>(); // a node that sees little ranks little
     private final Map<Long, Integer> groups = new HashMap<>();
     private Map<Long, Double> remembered = Map.of();
@@ -288,7 +284,8 @@
         } else if (token.equals("probe")) {
             act.timer("probe", PROBE_STEP);
             hosts.values().forEach(h -> h.placedLately += LATE_GAIN * (h.placed - h.placedLately));
-            probed().stream().filter(h -> now >= h.probeAt && h.ready()).forEach(this::probe);
+            probed.of(hosts.values(), now).stream().filter(h -> now >= h.probeAt && h.ready())
+                .forEach(this::probe);
         } else if (held.containsKey(Long.parseLong(token))) {
             finish(held.get(Long.parseLong(token)));
         }
@@ -313,33 +310,6 @@
         }
     }
 
-    /** Those that this node probes: all of them, or in a wide fleet those that matter to it. */
-    private Collection<Host> probed() {
-        if (hosts.size() <= Api.MOST_PROBED) {
-            return hosts.values();
-        }
-        if (now - probedChosen >= PERIOD) {
-            probedChosen = now;
-            probed = hosts.values().stream().filter(h -> concern(h) < NO_CONCERN)
-                .sorted(Comparator.comparingInt(this::concern)
-                    .thenComparing(Comparator.comparingLong((Host h) -> h.consideredAt).reversed())
-                    .thenComparingLong(h -> h.hash))
-                .limit(Api.MOST_PROBED).toList();
-        }
-        return probed;
-    }
-
-    /** How little a server matters here: it holds connections, may get the next, is cold or has failed. */
-    private int concern(Host h) {
-        if (!h.open.isEmpty()) {
-            return 0;
-        }
-        if (now - h.consideredAt < CONSIDERED) {
-            return 1;
-        }
-        return warmth(h) < 1 || h.strikes > 0 ? 2 : NO_CONCERN;
-    }
-
     private void probe(Host h) {
         boolean watched = jammed(h) || warmth(h) < 1 || reported(h) && h.asked() > BUSY;
         h.probeAt = now + (watched ? PROBE_BUSY : PROBE_CALM);
@@ -387,39 +357,12 @@
         List<Host> near = members.stream().filter(h -> h.server.zone() == set.zone()).toList();
         near = set.crossZoneCost() > DEAR_CROSSING && !near.isEmpty() ? near : members;
         locals = near.size();
-        home = maglev(near);
+        home = PlacementTable.of(near, this::weight);
         wide = near == members ? home : null;
         stale = false;
         rebuilt = now;
     }
 
-    /** Maglev: each server in turn, as often as its weight says, claims the next free slot of its order. */
-    private Host[] maglev(List<Host> members) {
-        Host[] table = new Host[members.isEmpty() ? 0 : SLOTS];
-        int[] next = new int[members.size()];
-        double[] credit = new double[members.size()];
-        double[] weights = members.stream().mapToDouble(this::weight).toArray();
-        double most = Arrays.stream(weights).max().orElse(1);
-        for (int filled = 0; filled < table.length;) {
-            for (int i = 0; i < next.length && filled < table.length; i++) {
-                credit[i] += weights[i] / most;
-                if (credit[i] < 1) {
-                    continue;
-                }
-                credit[i] -= 1;
-                Host h = members.get(i);
-                int skip = (int) (h.hash >>> 32) | 1;
-                int slot;
-                do {
-                    slot = (int) h.hash + next[i]++ * skip & SLOTS - 1;
-                } while (table[slot] != null);
-                table[slot] = h;
-                filled++;
-            }
-        }
-        return table;
-    }
-
     private double weight(Host h) {
         return set.comparableWeights() && h.server.weight() > 0 ? h.server.weight() : 1;
     }
@@ -442,7 +385,7 @@
             finish(c);
             return;
         }
-        if (stale && (now - rebuilt >= rules.cold() / REBUILD || home.length == 0)) {
+        if (stale && (now - rebuilt >= rules.cold() / REBUILD || home.isEmpty())) {
             rebuild();
         }
         Host h = least ? spare(c, true) : choose(c);
@@ -519,11 +462,9 @@
     /** The key's place in its fixed order of servers, the same at every node with the same list. */
     private Host place(long route, int i, boolean near) {
         if (!near && wide == null) {
-            wide = maglev(members);
+            wide = PlacementTable.of(members, this::weight);
         }
-        Host[] table = near ? home : wide;
-        long at = i == 0 ? route : mix(route + i);
-        return table.length == 0 ? null : table[(int) at & SLOTS - 1];
+        return (near ? home : wide).at(i == 0 ? route : mix(route + i));
     }
 
     private boolean usable(Host h, Call c) {
@@ -568,7 +509,7 @@
         }
         Host least = null;
         for (int i = 0; i < DRAWS; i++) {
-            Host h = home[random.nextInt(SLOTS)];
+            Host h = home.draw(random);
             boolean fit = h != from && usable(h, c) && now >= h.shunUntil && warmth(h) >= 1;
             if (fit && (least == null || w(h) < w(least) || w(h) == w(least)
                 && h.placed / weight(h) < least.placed / weight(least))) {
--- /dev/null
+++ b/relay/src/main/java/saltstage/PlacementTable.java
@@ -0,0 +1,64 @@
+package saltstage;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.function.ToDoubleFunction;
+import saltstage.State.Host;
+
+/** Maglev hashing: keys are looked up in a table that is the same at every node with the same list. */
+final class PlacementTable {
+    static final PlacementTable EMPTY = new PlacementTable(new Host[0]);
+    /** Odd skips visit every slot of a power of two. */
+    private static final int SLOTS = 2048;
+
+    private final Host[] slots;
+
+    private PlacementTable(Host[] slots) {
+        this.slots = slots;
+    }
+
+    /** Each server in turn, as often as its weight says, claims the next free slot of its own order. */
+    static PlacementTable of(List<Host> members, ToDoubleFunction<Host> weight) {
+        if (members.isEmpty()) {
+            return EMPTY;
+        }
+        Host[] table = new Host[SLOTS];
+        int[] next = new int[members.size()];
+        double[] credit = new double[members.size()];
+        double[] weights = members.stream().mapToDouble(weight).toArray();
+        double most = Arrays.stream(weights).max().orElse(1);
+        for (int filled = 0; filled < SLOTS;) {
+            for (int i = 0; i < next.length && filled < SLOTS; i++) {
+                credit[i] += weights[i] / most;
+                if (credit[i] < 1) {
+                    continue;
+                }
+                credit[i] -= 1;
+                Host h = members.get(i);
+                int skip = (int) (h.hash >>> 32) | 1;
+                int slot;
+                do {
+                    slot = (int) h.hash + next[i]++ * skip & SLOTS - 1;
+                } while (table[slot] != null);
+                table[slot] = h;
+                filled++;
+            }
+        }
+        return new PlacementTable(table);
+    }
+
+    boolean isEmpty() {
+        return slots.length == 0;
+    }
+
+    /** The server at this hash, or null where there is none. */
+    Host at(long hash) {
+        return isEmpty() ? null : slots[(int) hash & slots.length - 1];
+    }
+
+    /** A server by chance, as often as it has slots. */
+    Host draw(Random random) {
+        return slots[random.nextInt(slots.length)];
+    }
+}
