Every server of a wide fleet has places in the placement table

Callers would see: before 3,200 backends a third of them are never sent a request, and the others carry half as much again. Cause: the table had 2,048 slots whatever the list; filled in the order of ids, none is left for the last 1,152. Class: a structure of fixed size under a list that grows. Test: WideFleetPlacesTest failed before (2,048 of 3,200 reached).

--- a/relay/src/main/java/saltstage/PlacementTable.java
+++ b/relay/src/main/java/saltstage/PlacementTable.java
@@ -9,8 +9,10 @@
 /** Maglev hashing: keys are looked up in a table that is the same at every node with the same list. */
 final class PlacementTable {
     static final PlacementTable EMPTY = new PlacementTable(new Host[0]);
-    /** Odd skips visit every slot of a power of two. */
+    /** At least; odd skips visit every slot of a power of two. */
     private static final int SLOTS = 2048;
+    /** Else some servers of a wide fleet would have no slot. */
+    private static final int SLOTS_PER_SERVER = 7;
 
     private final Host[] slots;
 
@@ -23,13 +25,14 @@
         if (members.isEmpty()) {
             return EMPTY;
         }
-        Host[] table = new Host[SLOTS];
+        int size = Math.max(SLOTS, Integer.highestOneBit(SLOTS_PER_SERVER * members.size()));
+        Host[] table = new Host[size];
         int[] next = new int[members.size()];
         double[] credit = new double[members.size()];
         double[] weights = members.stream().mapToDouble(weight).toArray();
         double most = Arrays.stream(weights).max().orElse(1);
-        for (int filled = 0; filled < SLOTS;) {
-            for (int i = 0; i < next.length && filled < SLOTS; i++) {
+        for (int filled = 0; filled < size;) {
+            for (int i = 0; i < next.length && filled < size; i++) {
                 credit[i] += weights[i] / most;
                 if (credit[i] < 1) {
                     continue;
@@ -39,7 +42,7 @@
                 int skip = (int) (h.hash >>> 32) | 1;
                 int slot;
                 do {
-                    slot = (int) h.hash + next[i]++ * skip & SLOTS - 1;
+                    slot = (int) h.hash + next[i]++ * skip & size - 1;
                 } while (table[slot] != null);
                 table[slot] = h;
                 filled++;
