A backend is at least as old as the time it has been known, whatever clocks say

Callers would see: a backend whose start the list dates ahead of the relay's clock counts as cold until that clock has caught up, an hour after a step of an hour, and is sent next to nothing. Cause: warmth is reckoned from the list's wall time against the relay's, with no span that the relay has measured itself. Change: the age is at least the time since the relay first heard of the process. Where clocks agree nothing changes. Test: ColdTest.serverWhoseStartLiesAheadOfTheClockIsWarm... failed before (1 of 200 sent there, 100 wanted).

--- a/relay/src/main/java/saltstage/Logic.java
+++ b/relay/src/main/java/saltstage/Logic.java
@@ -497,7 +497,8 @@
     }
 
     private double warmth(Host h) {
-        double age = Math.max(0, now - h.server.startedAt()) / Math.max(1.0, rules.cold());
+        // It runs for as long as it has been known, whatever the wall clocks say of its start.
+        double age = (now - Math.min(h.server.startedAt(), h.knownAt)) / Math.max(1.0, rules.cold());
         return h.server.startedAt() == 0 || age >= 1 ? 1 : rules.coldFrom() + (1 - rules.coldFrom()) * age;
     }
 
--- a/relay/src/test/java/saltstage/ColdTest.java
+++ b/relay/src/test/java/saltstage/ColdTest.java
@@ -69,6 +69,15 @@
         assertEquals(40, sentToCold(rig(), false, 2 * Rig.SECOND), 15);
     }
 
+    @Test
+    void serverWhoseStartLiesAheadOfTheClockIsWarmOnceItHasBeenKnownForItsWarmUp() {
+        Rig rig = rig(4_000);
+        rig.list(Listing.ALL, Rig.server("s0", 0),
+            new Server("s1", 1, 1, Health.READY, 1, rig.now + 3_600 * Rig.SECOND));
+        rig.now += LONG + Rig.SECOND;
+        assertEquals(100, sentToCold(rig, false, 1_000), 25);
+    }
+
     @Test
     void burstIsHeldToTheBudget() {
         assertTrue(sentToCold(rig(), false, 1_000) <= 2);
