--- /dev/null
+++ b/relay/src/main/java/saltstage/stage/NonBlocking.java
@@ -0,0 +1,21 @@
+package saltstage.stage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+
+/** Writing on channels that do not block. */
+final class NonBlocking {
+    private NonBlocking() {
+    }
+
+    /** Writes a few bytes, in as many parts as the system takes; fails where it takes no more. */
+    static void writeWhole(SocketChannel channel, byte[] bytes) throws IOException {
+        ByteBuffer left = ByteBuffer.wrap(bytes);
+        while (left.hasRemaining()) {
+            if (channel.write(left) == 0) {
+                throw new IOException("the other side takes nothing");
+            }
+        }
+    }
+}
--- a/relay/src/main/java/saltstage/stage/PendingClient.java
+++ b/relay/src/main/java/saltstage/stage/PendingClient.java
@@ -109,9 +109,9 @@
         return piece;
     }
 
-    /** Writes a line; a few bytes on a connection that carried next to none before do not block. */
+    /** Writes a line whole; there is room for it on a connection that carried next to none before. */
     void send(String line) throws IOException {
-        channel.write(ByteBuffer.wrap((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1)));
+        NonBlocking.writeWhole(channel, (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** Half-close: a close over unread bytes would reset the connection and take the answer with it. */
--- a/relay/src/main/java/saltstage/stage/ProbeConnection.java
+++ b/relay/src/main/java/saltstage/stage/ProbeConnection.java
@@ -67,7 +67,7 @@
     void ask(Duration limit) throws IOException {
         asked = true;
         deadline = System.nanoTime() + limit.toNanos();
-        channel.write(ByteBuffer.wrap(QUESTION));
+        NonBlocking.writeWhole(channel, QUESTION);
     }
 
     private void connected(Duration limit) throws IOException {
