A start survives a moment without descriptors or buffers; a soak with faults by seed

Callers saw: a relay that did not start (code 1, 'No buffer space available') as a single call of socket failed. Cause: the listening socket was opened once, and any fault ended the process. Change: ten attempts 100 ms apart (listen.failed); an address that is taken or not ours is still refused at once.

--- a/relay/src/main/java/saltstage/lifecycle/ClientListener.java
+++ b/relay/src/main/java/saltstage/lifecycle/ClientListener.java
@@ -1,10 +1,13 @@
 package saltstage.lifecycle;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
+import saltstage.log.Log;
 
 /**
  * The socket where clients come in: at an address of the relay's own, or one that the platform holds and that
@@ -14,12 +17,38 @@
 final class ClientListener {
     /** Connections that may wait to be accepted: all that were open before a start may come at once. */
     private static final int BACKLOG = 4096;
+    private static final int ATTEMPTS = 10;
+    private static final Duration PAUSE = Duration.ofMillis(100);
 
     private ClientListener() {
     }
 
-    /** Listens at this address. */
+    /** Listens at this address; a want of descriptors may pass, an address that is taken does not. */
     static ServerSocketChannel at(InetSocketAddress address) throws IOException {
+        for (int attempt = 1;; attempt++) {
+            try {
+                return open(address);
+            } catch (BindException refused) {
+                throw refused;
+            } catch (IOException wanting) {
+                if (attempt == ATTEMPTS) {
+                    throw wanting;
+                }
+                Log.warn("listen.failed", "why", wanting.getMessage());
+                pause();
+            }
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            Thread.sleep(PAUSE.toMillis());
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
+    private static ServerSocketChannel open(InetSocketAddress address) throws IOException {
         ServerSocketChannel listener = ServerSocketChannel.open();
         try {
             listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
--- a/relay/src/test/c/platform_limits.c
+++ b/relay/src/test/c/platform_limits.c
@@ -4,10 +4,13 @@
  *   LIMIT_THREADS    pthread_create fails with EAGAIN once the process has so many threads
  *   LIMIT_BACKLOG    listen takes a queue of at most so many connections
  *   DELAY_THREAD_US  pthread_create takes so many microseconds longer
+ *   FAULT_SEED       with FAULT_PER_MILLE: so many of a thousand calls of accept, socket and connect fail for
+ *                    a moment, and as many reads and writes of sockets are short
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <stdint.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -53,3 +56,82 @@
     long most = setting("LIMIT_BACKLOG", backlog);
     return next(socket, backlog < most ? backlog : (int) most);
 }
+
+/* ---- faults that pass, drawn from a seed */
+
+static int drawn(uint64_t of)
+{
+    static uint64_t calls;
+    uint64_t z = (uint64_t) setting("FAULT_SEED", 0) + __atomic_add_fetch(&calls, 1, __ATOMIC_RELAXED)
+        * 0x9e3779b97f4a7c15ULL;
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return (int) ((z ^ (z >> 31)) % of);
+}
+
+static int faulty(void)
+{
+    long most = setting("FAULT_PER_MILLE", 0);
+    return most && drawn(1000) < most;
+}
+
+static int fail(const int *errors, int count)
+{
+    errno = errors[drawn((uint64_t) count)];
+    return -1;
+}
+
+int accept(int socket, struct sockaddr *address, socklen_t *length)
+{
+    static const int errors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, EINTR};
+    static int (*next)(int, struct sockaddr *, socklen_t *);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "accept");
+    }
+    return faulty() ? fail(errors, 5) : next(socket, address, length);
+}
+
+int socket(int domain, int type, int protocol)
+{
+    static const int errors[] = {EMFILE, ENFILE, ENOBUFS};
+    static int (*next)(int, int, int);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "socket");
+    }
+    return faulty() ? fail(errors, 3) : next(domain, type, protocol);
+}
+
+int connect(int socket, const struct sockaddr *address, socklen_t length)
+{
+    static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ETIMEDOUT, EHOSTUNREACH};
+    static int (*next)(int, const struct sockaddr *, socklen_t);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "connect");
+    }
+    return faulty() ? fail(errors, 4) : next(socket, address, length);
+}
+
+static size_t shortened(int descriptor, size_t count)
+{
+    struct stat kind;
+    int isShort = count > 1 && faulty() && !fstat(descriptor, &kind) && S_ISSOCK(kind.st_mode);
+    return isShort ? 1 + (size_t) drawn(count - 1) : count;
+}
+
+ssize_t read(int descriptor, void *bytes, size_t count)
+{
+    static ssize_t (*next)(int, void *, size_t);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "read");
+    }
+    return next(descriptor, bytes, shortened(descriptor, count));
+}
+
+ssize_t write(int descriptor, const void *bytes, size_t count)
+{
+    static ssize_t (*next)(int, const void *, size_t);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "write");
+    }
+    return next(descriptor, bytes, shortened(descriptor, count));
+}
--- /dev/null
+++ b/relay/src/test/java/saltstage/process/FaultSoakTest.java
@@ -0,0 +1,110 @@
+package saltstage.process;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import saltstage.process.World.Line;
+
+/**
+ * A relay whose calls to the network fail for a moment now and then, by seed: clients come and go, some say
+ * nothing, a new configuration comes, and the relay is told to end. More seeds by hand:
+ * {@code mvn -pl relay test -Dtest=FaultSoakTest -Dsoak.first=1 -Dsoak.seeds=50}.
+ */
+public class FaultSoakTest {
+    private static final int FIRST = Integer.getInteger("soak.first", 1);
+    private static final int SEEDS = Integer.getInteger("soak.seeds", 4);
+    private static final int PER_MILLE = 30;
+    private static final int CLIENTS = 150;
+    private static final int SILENT = 40;
+    private static final int DEADLINE_MS = 2_000;
+    /** Up to half a second after its time a request earns nothing; later it is lost. */
+    private static final int LOST_AFTER_MS = DEADLINE_MS + 500;
+    private static final int END_WITHIN_MS = 3_700;
+
+    @Test
+    public void everyRequestIsAnsweredInTimeWhileCallsToTheNetworkFailForAMoment() throws Exception {
+        List<String> broken = new ArrayList<>();
+        for (int seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            String outcome = play(seed);
+            System.out.println("soak seed " + seed + ": " + outcome);
+            if (!outcome.startsWith("kept")) {
+                broken.add(seed + ": " + outcome);
+            }
+        }
+        assertEquals("seeds with a broken rule", List.of(), broken);
+    }
+
+    private static String play(int seed) throws Exception {
+        Random random = new Random(seed);
+        TreeMap<String, Integer> answers = new TreeMap<>();
+        List<Line> standing = new ArrayList<>();
+        List<Socket> silent = new ArrayList<>();
+        try (World world = new World(); StandInFleet fleet = new StandInFleet(5)) {
+            world.platform = new NarrowPlatform().faults(seed, PER_MILLE);
+            String config = world.config(512, fleet.list(1));
+            world.startWith(config);
+            for (int i = 0; i < CLIENTS; i++) {
+                if (random.nextInt(CLIENTS) < SILENT) {
+                    silent.add(new Socket("127.0.0.1", world.clientPort()));
+                }
+                Line client = world.open("id" + i, DEADLINE_MS);
+                String answer = answer(client);
+                answers.merge(answer.split(" ")[0], 1, Integer::sum);
+                if (answer.startsWith("UP")) {
+                    if (random.nextBoolean()) {
+                        standing.add(client);
+                    } else {
+                        client.close();
+                    }
+                }
+                if (i == CLIENTS / 2) {
+                    world.reload(config);
+                }
+            }
+            World.await("the new configuration is read", () -> world.logged("reload.done"));
+            Platform.signal(world.process().pid(), "TERM");
+            int moved = 0;
+            for (Line client : standing) {
+                moved += "MOVE".equals(answer(client, END_WITHIN_MS)) ? 1 : 0;
+            }
+            boolean ended = world.process().waitFor(END_WITHIN_MS, TimeUnit.MILLISECONDS);
+            for (Socket one : silent) {
+                one.close();
+            }
+            int whole = answers.getOrDefault("UP", 0) + answers.getOrDefault("BUSY", 0)
+                + answers.getOrDefault("ERR", 0);
+            boolean kept = whole == CLIENTS && moved == standing.size() && ended
+                && world.process().exitValue() == 0;
+            return (kept ? "kept " : "broken ") + answers + ", moved " + moved + " of " + standing.size()
+                + (ended ? "" : ", not ended") + (kept ? "" : faults(world));
+        }
+    }
+
+    private static String faults(World world) {
+        return " " + world.log.stream().filter(line -> line.contains(" ERROR ")).limit(3).toList();
+    }
+
+    private static String answer(Line client) throws IOException {
+        return answer(client, LOST_AFTER_MS);
+    }
+
+    private static String answer(Line client, int millis) throws IOException {
+        client.socket.setSoTimeout(millis);
+        try {
+            String line = client.hear();
+            return line == null ? "end" : line;
+        } catch (SocketTimeoutException nothing) {
+            return "nothing";
+        } catch (IOException reset) {
+            return "reset";
+        }
+    }
+}
--- a/relay/src/test/java/saltstage/process/NarrowPlatform.java
+++ b/relay/src/test/java/saltstage/process/NarrowPlatform.java
@@ -37,6 +37,13 @@
         return this;
     }
 
+    /** So many of a thousand calls to the network fail for a moment or are short, drawn from this seed. */
+    NarrowPlatform faults(long seed, int perMille) {
+        limits.put("FAULT_SEED", Long.toString(seed));
+        limits.put("FAULT_PER_MILLE", Integer.toString(perMille));
+        return this;
+    }
+
     /** The process may hold at most so many descriptors, its class path aside. */
     NarrowPlatform descriptors(int most) {
         descriptors = most;
--- a/relay/src/test/java/saltstage/process/World.java
+++ b/relay/src/test/java/saltstage/process/World.java
@@ -184,7 +184,8 @@
         Thread reader = new Thread(() -> drainLog(process), "log");
         reader.setDaemon(true);
         reader.start();
-        await("the relay is ready", () -> logged("relay.ready"));
+        await("the relay is ready, not " + log, () -> logged("relay.ready") || !process.isAlive());
+        assertTrue("the relay is ready, not " + log, logged("relay.ready"));
         return this;
     }
 
