--- a/relay/src/test/java/saltstage/process/CrowdTest.java
+++ b/relay/src/test/java/saltstage/process/CrowdTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.Test;
 import saltstage.process.World.Line;
 import saltstage.process.World.Service;
@@ -53,7 +54,7 @@
         }
     }
 
-    private static void awaitWithin(int millis, String what, java.util.function.BooleanSupplier condition)
+    static void awaitWithin(int millis, String what, BooleanSupplier condition)
             throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!condition.getAsBoolean()) {
