Probe connections outlast the choice of backends; lab scale backends measures a wide fleet

Cause: of 128 connections the one that was not asked longest gave way, often that of a backend whose turn was next. Change: 64 more are kept for backends that are not probed any more. bin/lab scale backends plays one relay before 60, 200, 800 and 3,200 backends with the same clients; its CSV fills a table of the capacity page, beside what the operators allow.

--- a/lab/src/main/java/saltstage/lab/scale/CapacityPage.java
+++ b/lab/src/main/java/saltstage/lab/scale/CapacityPage.java
@@ -39,6 +39,7 @@
         byName.put("estimates", tables.estimates());
         byName.put("events", EventTable.of(data));
         byName.put("files", FileTable.of(data.folder()));
+        byName.put("backends", BackendsTable.of(data));
         byName.put("real-relays", RealRelaysTable.of(data));
         return byName;
     }
--- a/lab/src/main/java/saltstage/lab/scale/LineBackends.java
+++ b/lab/src/main/java/saltstage/lab/scale/LineBackends.java
@@ -24,6 +24,7 @@
     private final Transport.Listener listener;
     private final List<Connection> standing = new CopyOnWriteArrayList<>();
     private final AtomicLong names = new AtomicLong();
+    private final AtomicLong accepted = new AtomicLong();
 
     LineBackends(Transport transport) throws IOException {
         listener =
@@ -34,6 +35,11 @@
         return listener.address().getPort();
     }
 
+    /** How many connections were made, for requests and for probes. */
+    long accepted() {
+        return accepted.get();
+    }
+
     int standing() {
         return standing.size();
     }
@@ -63,6 +69,7 @@
 
         Side(Connection connection) {
             this.connection = connection;
+            accepted.incrementAndGet();
         }
 
         @Override
--- a/lab/src/main/java/saltstage/lab/scale/RelayProcess.java
+++ b/lab/src/main/java/saltstage/lab/scale/RelayProcess.java
@@ -108,6 +108,13 @@
         return ProcessFigures.of(process.pid());
     }
 
+    /** How many descriptors it has open now. */
+    long descriptors() throws IOException {
+        try (var open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return open.count();
+        }
+    }
+
     /** How many lines of its log hold this text. */
     long logged(String text) throws IOException {
         try (var lines = Files.lines(log.toPath(), java.nio.charset.StandardCharsets.ISO_8859_1)) {
--- a/lab/src/main/java/saltstage/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/saltstage/lab/scale/ScaleCommand.java
@@ -13,6 +13,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {
             ListRun.class,
+            BackendsRun.class,
             RenewalsRun.class,
             GroupedRenewalsRun.class,
             LeasesRun.class,
--- a/relay/src/main/java/saltstage/stage/Probe.java
+++ b/relay/src/main/java/saltstage/stage/Probe.java
@@ -22,8 +22,10 @@
  * one costs the backend time and work; however many backends are listed, only so many connections are kept.
  */
 final class Probe {
-    /** Also what the module asks at most; whoever was not asked for the longest time gives way. */
-    static final int MOST_CONNECTIONS = Api.MOST_PROBED;
+    /** To backends that the module asks no more: it may soon ask them again, and a new connection costs. */
+    private static final int KEPT_BEYOND = 64;
+    /** Beyond them, whoever was not asked for the longest time gives way. */
+    static final int MOST_CONNECTIONS = Api.MOST_PROBED + KEPT_BEYOND;
     private static final Duration LIMIT = Duration.ofMillis(250);
     /** How often connections to backends that are not listed any more are looked for. */
     private static final Duration LOOK = Duration.ofSeconds(5);
