--- a/relay/src/test/c/platform_limits.c
+++ b/relay/src/test/c/platform_limits.c
@@ -6,6 +6,8 @@
  *   DELAY_THREAD_US  pthread_create takes so many microseconds longer
  *   FAULT_SEED       with FAULT_PER_MILLE: so many of a thousand calls of accept, socket and connect fail for
  *                    a moment, and as many reads and writes of sockets are short
+ *   CLOCK_STEP_S     with CLOCK_STEP_AFTER_MS: the wall clock is stepped by so many seconds, so long after the
+ *                    process has first read it
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -15,6 +17,8 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/time.h>
+#include <time.h>
 #include <unistd.h>
 
 static long setting(const char *name, long absent)
@@ -135,3 +139,46 @@
     }
     return next(descriptor, bytes, shortened(descriptor, count));
 }
+
+/* ---- a stepped wall clock; spans of real time are not touched */
+
+static int (*clock_next(void))(clockid_t, struct timespec *)
+{
+    static int (*next)(clockid_t, struct timespec *);
+    if (!next) {
+        next = dlsym(RTLD_NEXT, "clock_gettime");
+    }
+    return next;
+}
+
+static long step_seconds(void)
+{
+    static int64_t first_ms;
+    long step = setting("CLOCK_STEP_S", 0);
+    struct timespec now;
+    if (!step || clock_next()(CLOCK_MONOTONIC, &now)) {
+        return 0;
+    }
+    int64_t now_ms = (int64_t) now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    first_ms = first_ms ? first_ms : now_ms;
+    return now_ms - first_ms >= setting("CLOCK_STEP_AFTER_MS", 0) ? step : 0;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now)
+{
+    int failed = clock_next()(clock, now);
+    if (!failed && clock == CLOCK_REALTIME) {
+        now->tv_sec += step_seconds();
+    }
+    return failed;
+}
+
+int gettimeofday(struct timeval *restrict now, void *restrict zone)
+{
+    struct timespec exact;
+    (void) zone;
+    int failed = clock_gettime(CLOCK_REALTIME, &exact);
+    now->tv_sec = exact.tv_sec;
+    now->tv_usec = exact.tv_nsec / 1000;
+    return failed;
+}
--- a/relay/src/test/java/saltstage/process/NarrowPlatform.java
+++ b/relay/src/test/java/saltstage/process/NarrowPlatform.java
@@ -44,6 +44,13 @@
         return this;
     }
 
+    /** The wall clock is stepped by so many seconds, so long after the start. */
+    NarrowPlatform clockStep(int seconds, int afterMillis) {
+        limits.put("CLOCK_STEP_S", Integer.toString(seconds));
+        limits.put("CLOCK_STEP_AFTER_MS", Integer.toString(afterMillis));
+        return this;
+    }
+
     /** The process may hold at most so many descriptors, its class path aside. */
     NarrowPlatform descriptors(int most) {
         descriptors = most;
