The proof of room for threads leaves none behind, and a refused start is tried again

Cause: ours, of this change: ThreadBudget starts threads for a moment to prove room. They count at the platform until it has let go of them, and those that had been started but had not run yet were counted twice; in a burst of 87 one proof followed another until the 512 threads of the platform were gone, and a restore was refused its thread. n4's log: 'threads.exhausted thread=restore' nine times from 1.813 s, 177 threads later. Change: a proof returns when its threads are gone (/proc/self/task), threads count from their start, and a start that is refused is tried again for 100 ms before the request fails.

--- a/relay/src/main/java/saltstage/stage/ThreadBudget.java
+++ b/relay/src/main/java/saltstage/stage/ThreadBudget.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import saltstage.log.Log;
+import saltstage.metrics.ProcessUsage;
 
 /**
  * How many requests there are threads for. A platform with a limit on threads tells it only by refusing one,
@@ -16,6 +17,11 @@
     static final int RESERVE = 24;
     /** How much more room is proven at a time. */
     private static final int STEP = 32;
+    /** A refusal that lasts this often as long as the pause is none of a moment. */
+    private static final int ATTEMPTS = 50;
+    private static final Duration PAUSE = Duration.ofMillis(2);
+    /** Other threads may have begun meanwhile. */
+    private static final int REAPED_BUT = 4;
     /** A platform that has refused a thread is not tried again sooner. */
     private static final Duration RETRY = Duration.ofSeconds(1);
 
@@ -53,20 +59,38 @@
         granted -= THREADS_PER_REQUEST;
     }
 
-    /** Starts a thread of a request that has acquired it. */
+    /** Starts a thread of a request that has acquired it; what is refused for a moment is tried again. */
     boolean start(String name, Threads.Work work) {
-        boolean started = starter.start(name, () -> {
-            count(1);
-            try {
-                work.run();
-            } finally {
-                count(-1);
+        count(1);
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            if (starter.start(name, () -> runThenCount(work))) {
+                return true;
+            }
+            if (!pause()) {
+                break;
             }
-        });
-        if (!started) {
-            Log.warn("threads.exhausted", "thread", name);
         }
-        return started;
+        count(-1);
+        Log.warn("threads.exhausted", "thread", name);
+        return false;
+    }
+
+    private void runThenCount(Threads.Work work) throws Exception {
+        try {
+            work.run();
+        } finally {
+            count(-1);
+        }
+    }
+
+    private static boolean pause() {
+        try {
+            Thread.sleep(PAUSE.toMillis());
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
     }
 
     private synchronized void count(int more) {
@@ -92,6 +116,7 @@
 
     /** How many of so many threads can be there at once; on the return none of them is left. */
     private int startTogether(int wanted) {
+        long before = ProcessUsage.threads();
         CountDownLatch over = new CountDownLatch(1);
         CountDownLatch ended = new CountDownLatch(wanted);
         int started = 0;
@@ -107,9 +132,19 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        awaitReaped(before);
         return started;
     }
 
+    /** A thread that has done its work is the platform's for a moment more, and counts there. */
+    private static void awaitReaped(long before) {
+        for (int i = 0; i < ATTEMPTS && ProcessUsage.threads() > before + REAPED_BUT; i++) {
+            if (!pause()) {
+                return;
+            }
+        }
+    }
+
     private static void awaitThenEnd(CountDownLatch over, CountDownLatch ended) throws InterruptedException {
         try {
             over.await();
--- a/relay/src/test/c/platform_limits.c
+++ b/relay/src/test/c/platform_limits.c
@@ -4,6 +4,7 @@
  *   LIMIT_THREADS    pthread_create fails with EAGAIN once the process has so many threads
  *   LIMIT_BACKLOG    listen takes a queue of at most so many connections
  *   DELAY_THREAD_US  pthread_create takes so many microseconds longer
+ *   DELAY_END_US     a thread that has done its work counts for so many microseconds more
  *   FAULT_SEED       with FAULT_PER_MILLE: so many of a thousand calls of accept, socket and connect fail for
  *                    a moment, and as many reads and writes of sockets are short
  *   CLOCK_STEP_S     with CLOCK_STEP_AFTER_MS: the wall clock is stepped by so many seconds, so long after the
@@ -34,6 +35,20 @@
     return stat("/proc/self/task", &tasks) ? 0 : (long) tasks.st_nlink - 2;
 }
 
+struct work {
+    void *(*start)(void *);
+    void *argument;
+};
+
+static void *work_then_wait(void *given)
+{
+    struct work work = *(struct work *) given;
+    free(given);
+    void *result = work.start(work.argument);
+    usleep(setting("DELAY_END_US", 0));
+    return result;
+}
+
 int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument)
 {
     static int (*next)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
@@ -48,7 +63,20 @@
     if (delay) {
         usleep(delay);
     }
-    return next(thread, attributes, start, argument);
+    if (!setting("DELAY_END_US", 0)) {
+        return next(thread, attributes, start, argument);
+    }
+    struct work *work = malloc(sizeof *work);
+    if (!work) {
+        return EAGAIN;
+    }
+    work->start = start;
+    work->argument = argument;
+    int failed = next(thread, attributes, work_then_wait, work);
+    if (failed) {
+        free(work);
+    }
+    return failed;
 }
 
 int listen(int socket, int backlog)
--- a/relay/src/test/java/saltstage/process/NarrowPlatform.java
+++ b/relay/src/test/java/saltstage/process/NarrowPlatform.java
@@ -31,6 +31,12 @@
         return this;
     }
 
+    /** A thread that has ended counts for this much longer. */
+    NarrowPlatform threadEndMicros(int micros) {
+        limits.put("DELAY_END_US", Integer.toString(micros));
+        return this;
+    }
+
     /** The queue of a listening socket holds at most so many connections. */
     NarrowPlatform backlog(int most) {
         limits.put("LIMIT_BACKLOG", Integer.toString(most));
--- a/relay/src/test/java/saltstage/stage/ThreadBudgetTest.java
+++ b/relay/src/test/java/saltstage/stage/ThreadBudgetTest.java
@@ -63,6 +63,19 @@
         assertEquals((PLATFORM - ThreadBudget.RESERVE) / ThreadBudget.THREADS_PER_REQUEST, admitted);
     }
 
+    @Test
+    void threadThatIsRefusedForAMomentIsStartedAllTheSame() throws Exception {
+        assertTrue(budget.tryAcquire());
+        platform.drainPermits();
+        CountDownLatch ran = new CountDownLatch(1);
+        Threads.tryStart("release", () -> {
+            Thread.sleep(20);
+            platform.release(PLATFORM);
+        });
+        assertTrue(budget.start("request", ran::countDown));
+        ran.await();
+    }
+
     @Test
     void requestThatEndsMakesRoomForTheNext() throws Exception {
         admitAll();
