Tests wait for a line of the relay's log instead of looking once

Trace: the relay writes the line before the answer, without a queue; the test reads the relay's output on another thread, which may come later than the client's read of the answer. Change: awaitLogged in place of six single looks in ServeTest and ConfigurationTest; the line still has to come. KeepTest and DiscoveryTest look after other events and are left as they are.

--- a/relay/src/test/java/saltstage/process/ConfigurationTest.java
+++ b/relay/src/test/java/saltstage/process/ConfigurationTest.java
@@ -146,13 +146,13 @@
     public void theLogsSettingsAreChangedAndOthersNamedOnce() throws Exception {
         startRelay();
         accept(setting("log.format", "json"), setting("pool.size", "3"));
-        assertTrue(world.logged("\"configuration.applied\""));
+        world.awaitLogged("\"configuration.applied\"");
         accept(setting("pool.size", "4"));
         accept(setting("log.format", null));
         accept(setting("log.level", "loud"));
         assertEquals(1, world.log.stream().filter(line -> line.contains("name=pool.size")
             || line.contains("\"pool.size\"")).count());
-        assertTrue(world.logged("why=\"unknown word: loud\""));
+        world.awaitLogged("why=\"unknown word: loud\"");
     }
 
     @Test
--- a/relay/src/test/java/saltstage/process/ServeTest.java
+++ b/relay/src/test/java/saltstage/process/ServeTest.java
@@ -65,7 +65,7 @@
             assertNull(client.hear());
         }
         assertTrue(backend.nobodyComesFor(100));
-        assertTrue(world.logged("client.malformed"));
+        world.awaitLogged("client.malformed");
     }
 
     @Test
@@ -105,7 +105,7 @@
         side.say("HELLO");
         assertTrue(client.hear().matches("BUSY 1500"));
         assertNull(client.hear());
-        assertTrue(world.logged("try.malformed"));
+        world.awaitLogged("try.malformed");
     }
 
     @Test
@@ -380,7 +380,7 @@
         Line side = world.stand(backend, first);
         world.stand(backend, world.open("d2", 20_000));
         assertEquals("BUSY 1500", world.open("d3", 20_000).hear());
-        assertTrue(world.logged("admit.full"));
+        world.awaitLogged("admit.full");
         side.say("M 1 still here");
         assertEquals("M 1 still here", first.hear());
     }
@@ -407,7 +407,7 @@
                 return false;
             }
         });
-        assertTrue(world.logged("admit.full"));
+        world.awaitLogged("admit.full");
     }
 
     @Test
--- a/relay/src/test/java/saltstage/process/World.java
+++ b/relay/src/test/java/saltstage/process/World.java
@@ -237,6 +237,11 @@
         return log.stream().anyMatch(line -> line.contains(part));
     }
 
+    /** Waits for a line that the relay has written: it is read from its output by another thread. */
+    void awaitLogged(String part) throws InterruptedException {
+        await("the log says " + part, () -> logged(part));
+    }
+
     static void await(String what, BooleanSupplier condition) throws InterruptedException {
         for (int waited = 0; !condition.getAsBoolean(); waited += 10) {
             assertTrue("waited in vain until " + what, waited < PATIENCE_MS);
