--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,4 @@
 rm -rf "$classes"
 mkdir -p "$classes"
 javac -d "$classes" -cp lab/target/lab.jar review/support-2/*.java
+gcc -o "$classes/holder" review/support-2/holder.c
