--- a/review/support-2/StandIn.java
+++ b/review/support-2/StandIn.java
@@ -1,15 +1,11 @@
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.InputStreamReader;
-import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,7 +13,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -28,7 +23,6 @@
     public static void main(String[] args) throws Exception {
         switch (args[0]) {
             case "ports" -> ports(Integer.parseInt(args[1]));
-            case "proxy" -> proxies(Path.of(args[1]), List.of(args).subList(2, args.length));
             case "backends" -> backends(Path.of(args[1]), List.of(args).subList(2, args.length));
             case "clients" ->
                     clients(
@@ -36,7 +30,6 @@
                             Integer.parseInt(args[2]),
                             Integer.parseInt(args[3]),
                             Path.of(args[4]));
-            case "get" -> System.out.println(get(args[1]));
             default -> throw new IllegalArgumentException(args[0]);
         }
     }
@@ -63,17 +56,6 @@
         System.out.println(text.toString().trim());
     }
 
-    /** Reads a URL and prints status and body in one line. */
-    private static String get(String url) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) new URL(url).openConnection();
-        call.setConnectTimeout(1_000);
-        call.setReadTimeout(3_000);
-        int status = call.getResponseCode();
-        InputStream in = status < 400 ? call.getInputStream() : call.getErrorStream();
-        String body = in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
-        return status + " " + body;
-    }
-
     static Thread start(String name, IoAction action) {
         Thread thread =
                 new Thread(
@@ -94,97 +76,6 @@
         void run() throws IOException, InterruptedException;
     }
 
-    /**
-     * Forwards connections, each LISTEN=TARGET. While the control file exists the links are cut:
-     * open connections stay open and silent and new ones never come up. Once it is gone, the
-     * connections of the time of the cut are reset.
-     */
-    private static void proxies(Path control, List<String> links) throws Exception {
-        Set<Socket> open = ConcurrentHashMap.newKeySet();
-        for (String link : links) {
-            String[] ends = link.split("=");
-            InetSocketAddress target = address(ends[1]);
-            ServerSocket server = new ServerSocket();
-            server.setReuseAddress(true);
-            server.bind(address(ends[0]), 64);
-            start(
-                    "accept",
-                    () -> {
-                        while (true) {
-                            Socket client = server.accept();
-                            start("link", () -> forward(control, client, target, open));
-                        }
-                    });
-        }
-        System.out.println("ready");
-        boolean wasCut = false;
-        while (true) {
-            boolean cut = Files.exists(control);
-            if (wasCut && !cut) {
-                for (Socket socket : open) {
-                    reset(socket);
-                }
-            }
-            wasCut = cut;
-            Thread.sleep(20);
-        }
-    }
-
-    private static void forward(
-            Path control, Socket client, InetSocketAddress target, Set<Socket> open)
-            throws IOException, InterruptedException {
-        open.add(client);
-        Socket server = new Socket();
-        try {
-            while (Files.exists(control)) {
-                Thread.sleep(20);
-            }
-            if (client.isClosed()) {
-                return;
-            }
-            server.connect(target, 1_000);
-            open.add(server);
-            Thread back = start("back", () -> copy(control, server, client));
-            copy(control, client, server);
-            back.join();
-        } catch (IOException refused) {
-            reset(client);
-        } finally {
-            open.remove(client);
-            open.remove(server);
-            client.close();
-            server.close();
-        }
-    }
-
-    private static void copy(Path control, Socket from, Socket to)
-            throws IOException, InterruptedException {
-        byte[] buffer = new byte[16 << 10];
-        try {
-            InputStream in = from.getInputStream();
-            OutputStream out = to.getOutputStream();
-            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                while (Files.exists(control)) {
-                    Thread.sleep(20);
-                }
-                out.write(buffer, 0, n);
-            }
-            to.shutdownOutput();
-        } catch (IOException ended) {
-            reset(to);
-            reset(from);
-        }
-    }
-
-    private static void reset(Socket socket) {
-        try {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        } catch (IOException closed) {
-            return;
-        }
-    }
-
     private static synchronized void log(PrintStream out, String line) {
         out.println(System.currentTimeMillis() + " " + line);
         out.flush();
