Replacement: the new process takes the AMQP port over instead of ending

Cause: each process binds the AMQP port alone, the new one in its start and while the old one still listens. The failed bind ended the start.

Change: a process that inherits the clients' socket starts without the port and listens as soon as the old process has closed its listener, which that does at SIGTERM once it sees a successor. A start that replaces no process still fails with one line on a port in use.

--- a/relay/src/main/java/saltstage/amqp/AmqpFrontend.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpFrontend.java
@@ -1,7 +1,6 @@
 package saltstage.amqp;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
@@ -36,9 +35,6 @@
 
 /** Accepts AMQP clients and holds the state that all their connections share. */
 public final class AmqpFrontend implements Frontend {
-    private static final Connection.WriteLimits WRITE_LIMITS =
-            new Connection.WriteLimits(256 << 10, 16 << 20);
-    private static final int ACCEPT_BACKLOG = 1_024;
     private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(100);
 
     /**
@@ -80,7 +76,7 @@
     private final LongAdder movedLinks = new LongAdder();
     private final LongAdder reattachedLinks = new LongAdder();
     private final LongAdder failedLogins = new LongAdder();
-    private Transport.Listener listener;
+    private final AmqpListener listener;
     private volatile boolean draining;
 
     /** Creates a frontend with these settings for the pipeline. */
@@ -107,18 +103,28 @@
         for (Loop loop : transport.loops()) {
             backendPools.put(loop, new BackendConnectionPool(this, transport, loop));
         }
+        listener = new AmqpListener(transport, settings.listenAddress(), this::accept, clock::now);
     }
 
-    /** Starts to listen and returns the local address. */
-    public InetSocketAddress start() throws IOException {
-        listener =
-                transport.listen(
-                        settings().listenAddress(), ACCEPT_BACKLOG, WRITE_LIMITS, this::accept);
+    /** Starts to listen. */
+    public void start() throws IOException {
+        listener.open();
+        startServing();
+    }
+
+    /**
+     * Starts beside another process of this relay, which may still listen on the address: listens
+     * as soon as that process has closed its listener.
+     */
+    public void startAsSuccessor() throws IOException {
+        listener.openWhenFree();
+        startServing();
+    }
+
+    private void startServing() {
         reserveDescriptors();
         pipeline.addFrontend(this);
         transport.loops().forEach(this::scheduleMaintenance);
-        Log.info("amqp.ready", "listen", listener.address());
-        return listener.address();
     }
 
     private void reserveDescriptors() {
@@ -219,6 +225,12 @@
         }
     }
 
+    /** The successor listens on the same address, so this process must release it at once. */
+    @Override
+    public void startHandover() {
+        startDraining();
+    }
+
     @Override
     public void startDraining() {
         draining = true;
--- a/relay/src/main/java/saltstage/lifecycle/Drain.java
+++ b/relay/src/main/java/saltstage/lifecycle/Drain.java
@@ -78,9 +78,8 @@
                 hasSuccessor);
         // A successor accepts all new clients, and pending clients of this process are still
         // served.
-        if (!hasSuccessor) {
-            pipeline.frontends().forEach(Frontend::startDraining);
-        }
+        pipeline.frontends()
+                .forEach(hasSuccessor ? Frontend::startHandover : Frontend::startDraining);
         try {
             while (elapsed().compareTo(drainLimit) < 0 && !isDone()) {
                 moveDueClients();
--- a/relay/src/main/java/saltstage/lifecycle/RelayServer.java
+++ b/relay/src/main/java/saltstage/lifecycle/RelayServer.java
@@ -259,7 +259,12 @@
                         (location, fault) -> Log.error("loop.fault." + location, fault));
         try {
             amqpFrontend = new AmqpFrontend(settings, config, pipeline, clock, transport);
-            amqpFrontend.start();
+            if (environment.inheritsListener()) {
+                // The process that this one replaces still serves and listens for AMQP clients.
+                amqpFrontend.startAsSuccessor();
+            } else {
+                amqpFrontend.start();
+            }
         } catch (MalformedException malformed) {
             throw new IOException(malformed.getMessage(), malformed);
         }
--- a/relay/src/main/java/saltstage/net/NettyTransport.java
+++ b/relay/src/main/java/saltstage/net/NettyTransport.java
@@ -36,6 +36,9 @@
 public final class NettyTransport implements Transport {
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 5_000;
 
+    /** The system's text for EADDRINUSE, which both kinds of channels include in their message. */
+    private static final String ADDRESS_IN_USE = "Address already in use";
+
     private final EventLoopGroup eventLoopGroup;
     private final Class<? extends ServerChannel> serverChannelType;
     private final Class<? extends Channel> clientChannelType;
@@ -117,13 +120,19 @@
                                 });
         ChannelFuture bound = server.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + bound.cause().getMessage(),
-                    bound.cause());
+            throw listenFailure(address, bound.cause());
         }
         return new NettyListener(bound.channel());
     }
 
+    /** The JDK and the native library report the same system error with different exceptions. */
+    private static IOException listenFailure(InetSocketAddress address, Throwable cause) {
+        boolean inUse = String.valueOf(cause.getMessage()).contains(ADDRESS_IN_USE);
+        return inUse
+                ? new AddressInUseException(address, cause)
+                : new IOException("cannot listen on " + address + ": " + cause.getMessage(), cause);
+    }
+
     private record NettyListener(Channel channel) implements Listener {
         @Override
         public InetSocketAddress address() {
--- a/relay/src/main/java/saltstage/net/Transport.java
+++ b/relay/src/main/java/saltstage/net/Transport.java
@@ -38,7 +38,11 @@
         void close();
     }
 
-    /** Opens a listening socket; accepted connections are distributed over the loops. */
+    /**
+     * Opens a listening socket; accepted connections are distributed over the loops.
+     *
+     * @throws AddressInUseException if another socket listens on the address
+     */
     Listener listen(
             InetSocketAddress address,
             int backlog,
--- a/relay/src/main/java/saltstage/stage/Frontend.java
+++ b/relay/src/main/java/saltstage/stage/Frontend.java
@@ -5,6 +5,12 @@
     /** Starts draining: new clients are directed to other relays if the protocol permits. */
     void startDraining();
 
+    /**
+     * Starts draining while another process of this relay already serves: new clients are left to
+     * that process.
+     */
+    void startHandover();
+
     /**
      * Answers connected clients that have no request, because the relay is about to end; never
      * blocks.
--- a/relay/src/main/java/saltstage/stage/LineFrontend.java
+++ b/relay/src/main/java/saltstage/stage/LineFrontend.java
@@ -76,6 +76,10 @@
         draining = true;
     }
 
+    /** Both processes accept at one socket, so pending clients are served here as before. */
+    @Override
+    public void startHandover() {}
+
     @Override
     public void rejectPendingClients() {
         acceptor.rejectPendingClients();
--- a/relay/src/test/java/saltstage/process/ProcessSupervisor.java
+++ b/relay/src/test/java/saltstage/process/ProcessSupervisor.java
@@ -65,11 +65,15 @@
         }
     }
 
-    /** Starts a relay with this configuration and operator port; its log is written to the file. */
-    long start(Path config, int adminPort, Path log) throws Exception {
-        List<String> command =
-                RelayTestEnvironment.programBuilder(List.of("serve", "--config", config.toString()))
-                        .command();
+    /**
+     * Starts a relay with this configuration, operator port and further arguments; its log is
+     * written to the file.
+     */
+    long start(Path config, int adminPort, Path log, List<String> furtherArguments)
+            throws Exception {
+        List<String> arguments = new ArrayList<>(List.of("serve", "--config", config.toString()));
+        arguments.addAll(furtherArguments);
+        List<String> command = RelayTestEnvironment.programBuilder(arguments).command();
         String line =
                 "TMPDIR="
                         + directory
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -5,9 +5,13 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,10 +28,18 @@
  * the handover.
  */
 public class UpgradeTest {
+    private static final byte[] AMQP_HEADER = {'A', 'M', 'Q', 'P', 0, 1, 0, 0};
+
+    /** An open frame with the container id "x" (AMQP 1.0, 2.7.1). */
+    private static final byte[] AMQP_OPEN_FRAME = {
+        0, 0, 0, 17, 2, 0, 0, 0, 0, 0x53, 0x10, (byte) 0xc0, 4, 1, (byte) 0xa1, 1, 'x'
+    };
+
     private RelayTestEnvironment environment;
     private ProcessSupervisor platform;
     private TestServer backend;
     private Path config;
+    private List<String> furtherArguments = List.of();
 
     @Before
     public void start() throws Exception {
@@ -64,7 +76,7 @@
     private Relay launch(String name) throws Exception {
         int admin = freePort();
         Path log = platform.directory.resolve(name + ".log");
-        return new Relay(platform.start(config, admin, log), admin, log);
+        return new Relay(platform.start(config, admin, log, furtherArguments), admin, log);
     }
 
     private Relay startReady(String name) throws Exception {
@@ -125,6 +137,83 @@
                 hasLogged(old, " id=n"));
     }
 
+    /** Writes settings with an AMQP frontend at this port, for the relays started from now on. */
+    private void useAmqp(int port) throws IOException {
+        Path settings = platform.directory.resolve("relay.hcl");
+        Files.writeString(
+                settings,
+                "amqp {\n  listen = \"127.0.0.1:"
+                        + port
+                        + "\"\n  anonymous_tenant = \"acme\"\n}\n");
+        furtherArguments = List.of("--settings", settings.toString());
+    }
+
+    /** Connects an AMQP client and returns after the relay has answered its open frame. */
+    private static Socket openAmqp(int port) throws IOException {
+        Socket client = new Socket("127.0.0.1", port);
+        client.setSoTimeout(RelayTestEnvironment.AWAIT_TIMEOUT_MS);
+        client.getOutputStream().write(AMQP_HEADER);
+        client.getOutputStream().write(AMQP_OPEN_FRAME);
+        DataInputStream answer = new DataInputStream(client.getInputStream());
+        answer.readFully(new byte[AMQP_HEADER.length]);
+        answer.readFully(new byte[answer.readInt() - Integer.BYTES]);
+        return client;
+    }
+
+    private static boolean canOpenAmqp(int port) {
+        try (Socket client = openAmqp(port)) {
+            return client.isConnected();
+        } catch (IOException refusedOrClosed) {
+            return false;
+        }
+    }
+
+    /** Guards against a new process that ends because the old one listens for AMQP clients. */
+    @Test
+    public void newProcessIsReadyBesideTheOldOneAndListensForAmqpWhenThatHasClosedItsListener()
+            throws Exception {
+        int amqpPort = freePort();
+        useAmqp(amqpPort);
+        Relay old = startReady("old");
+        Socket amqpClient = openAmqp(amqpPort);
+        Relay next = startReady("next");
+        assertTrue(hasLogged(next, "amqp.waiting"));
+        assertTrue("the old process still listens", canOpenAmqp(amqpPort));
+        // A line client that is established keeps the old process from ending at once.
+        TestConnection lineClient = environment.sendOpen("u1", 20_000);
+        environment.establish(backend, lineClient);
+        ProcessSupervisor.signal(old.pid(), "TERM");
+        RelayTestEnvironment.await(
+                "the new process listens for AMQP clients", () -> hasLogged(next, "amqp.ready"));
+        assertTrue(canOpenAmqp(amqpPort));
+        String lastFrames =
+                new String(amqpClient.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(lastFrames, lastFrames.contains("amqp:connection:forced"));
+        RelayTestEnvironment.await(
+                "the old process ends", () -> platform.exitCodes.containsKey(old.pid()));
+        assertEquals(0, (int) platform.exitCodes.get(old.pid()));
+        environment.establish(backend, environment.sendOpen("u2", 20_000));
+    }
+
+    /** An address in use is an error where no other process of the relay can be its owner. */
+    @Test
+    public void amqpAddressInUseEndsTheStartOfARelayThatReplacesNone() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            useAmqp(other.getLocalPort());
+            List<String> arguments = new ArrayList<>(List.of("serve", "--config"));
+            Path ownPort = platform.directory.resolve("own-port.json");
+            environment.setClientPort(freePort());
+            Files.writeString(
+                    ownPort, environment.config(4096, RelayTestEnvironment.backendList(1, true)));
+            arguments.add(ownPort.toString());
+            arguments.addAll(furtherArguments);
+            Process process = RelayTestEnvironment.launch(arguments.toArray(String[]::new));
+            String output = new String(process.getInputStream().readAllBytes());
+            assertEquals(1, process.waitFor());
+            assertTrue(output, output.contains("saltstage: cannot listen on /127.0.0.1:"));
+        }
+    }
+
     private static void assertPong(TestConnection line) {
         try {
             assertEquals("PONG", line.sendLine("PING").readLine());
