AMQP: discard what arrives after the relay's close, release its engine at once

Callers saw: one client that attached and detached at full speed under new names, and came again when closed for flooding, exhausted the memory of a relay with the flags of `run`; other AMQP clients got no answer.

Cause: a closed connection lingers for half a second. Meanwhile its frames were still processed, and each attach among them became a link of the engine. The timer of a request also held the client with all its links until the deadline. Evidence: histogram during the flood, 14,526 engine links beside 2,006 links of the relay's own (500, the limit a second, for each of four connections).

Change: frames after our close are discarded, the engine is released at once, timers hold a request weakly.

--- a/lab/src/test/java/saltstage/lab/amqp/AmqpTestEnvironment.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpTestEnvironment.java
@@ -19,10 +19,27 @@
 
     AmqpTestEnvironment(int backends, String amqpSettings)
             throws IOException, InterruptedException {
+        this(backends, amqpSettings, "");
+    }
+
+    /** Starts the relay with the JVM flags that it has in service, which bound its memory. */
+    static AmqpTestEnvironment withServiceMemory(int backends, String amqpSettings)
+            throws IOException, InterruptedException {
+        String deployment =
+                Files.readString(Installation.repositoryRoot().resolve("deploy/balancer.toml"));
+        String flags =
+                deployment
+                        .replaceAll("(?s).*run = \"exec java (.*?) -jar .*", "$1")
+                        .replaceAll("-XX:SharedArchiveFile=\\S+", "");
+        return new AmqpTestEnvironment(backends, amqpSettings, flags);
+    }
+
+    private AmqpTestEnvironment(int backends, String amqpSettings, String javaOptions)
+            throws IOException, InterruptedException {
         dir = Files.createTempDirectory("saltstage-amqp");
         fleet = new FakeFleet(backends, true, 0);
         fleet.writeFiles(dir, fleet.operatorSettings(amqpSettings));
-        relay =
+        ProcessBuilder builder =
                 new ProcessBuilder(
                                 Installation.relayScript().toString(),
                                 "serve",
@@ -31,8 +48,9 @@
                                 "--settings",
                                 dir.resolve("saltstage.hcl").toString())
                         .redirectErrorStream(true)
-                        .redirectOutput(dir.resolve("log").toFile())
-                        .start();
+                        .redirectOutput(dir.resolve("log").toFile());
+        builder.environment().put("JAVA_OPTS", javaOptions);
+        relay = builder.start();
         String[] address = fleet.listenAddress().split(":");
         Installation.awaitPong(
                 new InetSocketAddress(address[0], Integer.parseInt(address[1])),
--- a/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
@@ -105,6 +105,9 @@
 
     @Override
     public void received(Connection connection, ByteBuffer bytes) {
+        if (isDiscarding()) {
+            return;
+        }
         byte[] input = new byte[bytes.remaining()];
         bytes.get(input);
         if (engine() == null) {
@@ -236,10 +239,16 @@
         }
     }
 
-    /** Counts empty frames, which cost the relay work without requesting anything. */
+    /**
+     * Counts empty frames, which cost the relay work without requesting anything, and discards all
+     * frames once the connection is closed.
+     */
     private final class EmptyFrameCounter implements EngineHandler {
         @Override
         public void handleRead(EngineHandlerContext context, IncomingAMQPEnvelope frame) {
+            if (isDiscarding()) {
+                return; // the rest of the bytes that were received together
+            }
             if (frame == EmptyEnvelope.INSTANCE
                     && exceedsRate(++emptyFrameCount, MAX_EMPTY_FRAMES_PER_SECOND)) {
                 closeForFlooding("empty frames");
--- a/relay/src/main/java/saltstage/amqp/AmqpConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpConnection.java
@@ -39,6 +39,9 @@
     private boolean writable = true;
     private boolean closed;
 
+    /** Whether this side has sent its close frame; what arrives after it is discarded (2.4.6). */
+    private boolean discarding;
+
     /**
      * Creates a connection that accepts frames of at most the given size and takes the time from
      * the clock.
@@ -121,10 +124,18 @@
         return closed;
     }
 
+    /** Whether received frames are discarded, because this side has closed the connection. */
+    protected final boolean isDiscarding() {
+        return discarding;
+    }
+
     /** Passes the whole frames received so far to the engine. */
     protected final void ingest(byte[] input) {
+        if (closed || discarding) {
+            return;
+        }
         byte[] frames = frameSplitter.takeWholeFrames(input);
-        if (frames.length > 0 && !closed && engine.isWritable()) {
+        if (frames.length > 0 && engine.isWritable()) {
             try {
                 engine.ingest(ProtonByteArrayBufferAllocator.wrapped(frames));
             } catch (RuntimeException handledByErrorHandler) {
@@ -201,16 +212,30 @@
         }
         engine.connection().open();
         engine.connection().setCondition(condition).close();
+        discarding = true;
+        // Not at once, as the engine may be processing the frame that led to the close.
+        loop().execute(this::releaseEngine);
         closeAfterLinger();
     }
 
+    /**
+     * Releases the engine and with it the state of all sessions and links, which a closed
+     * connection needs no longer while it lingers.
+     */
+    private void releaseEngine() {
+        if (engine != null && !engine.isShutdown()) {
+            engine.shutdown();
+        }
+        engine = null;
+    }
+
     private void closeAfterLinger() {
         netConnection.shutdownOutput();
         loop().schedule(CLOSE_LINGER, netConnection::close);
     }
 
     private void tickEngine() {
-        if (closed || engine.isShutdown() || engine.isFailed()) {
+        if (closed || engine == null || engine.isShutdown() || engine.isFailed()) {
             return;
         }
         Duration next = MAX_TICK_INTERVAL;
--- a/relay/src/main/java/saltstage/stage/AdmissionControl.java
+++ b/relay/src/main/java/saltstage/stage/AdmissionControl.java
@@ -1,6 +1,7 @@
 package saltstage.stage;
 
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Set;
@@ -178,9 +179,12 @@
 
     private void startRouting(RequestContext context, Instant now) {
         router.requestAdmitted(context);
+        // The router holds a request that waits. The timer must not hold one that has ended, with
+        // its client and all that the client has sent, until the deadline.
+        WeakReference<RequestContext> waiting = new WeakReference<>(context);
         timers.schedule(
                 Duration.between(now, context.deadline()).plus(OVERDUE_GRACE),
-                () -> failIfOverdue(context));
+                () -> failIfOverdue(waiting.get()));
     }
 
     /** Reserves descriptors for another frontend; called before clients connect. */
@@ -215,7 +219,7 @@
     }
 
     private void failIfOverdue(RequestContext context) {
-        if (context.phase() == RequestContext.Phase.WAITING) {
+        if (context != null && context.phase() == RequestContext.Phase.WAITING) {
             Log.warn("request.overdue", "id", context.attributes().clientRequestId());
             outcomeRecorder.fail(context);
         }
