AMQP: an attach withdrawn before its answer no longer counts against backends

Callers saw: beside one client that attached and detached at full speed, 99 of 102 attaches of another client were rejected.

Cause: the attempt of a withdrawn attach was reported as CANCELLED, which the load balancer counts as an attempt that was not established; it then starts only twice as many attempts as were. An attach that nobody waits for has no effect, which is what MOOT says.

--- a/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
@@ -61,6 +61,7 @@
             String log = env.readLog();
             assertTrue(!log.contains("OutOfMemoryError"), log);
             assertEquals(List.of(), probe.unanswered());
+            assertTrue(probe.served() > probe.refused(), "refused " + probe.refused());
             assertTrue(residentMb < MAX_RESIDENT_MB, "resident " + residentMb + " MB");
         }
     }
--- a/relay/src/main/java/saltstage/amqp/BackendLink.java
+++ b/relay/src/main/java/saltstage/amqp/BackendLink.java
@@ -79,7 +79,7 @@
         try {
             attempt.connectionOpened(this);
         } catch (IOException cancelled) {
-            endAttempt(Outcome.CANCELLED);
+            endAttempt(Outcome.MOOT);
             return;
         }
         Duration remaining = Duration.between(frontend.now(), deadline);
@@ -179,7 +179,7 @@
         state = State.ATTACHED;
         cancelTimers();
         if (!owner.linkAttached(this)) {
-            endAttempt(Outcome.CANCELLED);
+            endAttempt(Outcome.MOOT);
         }
     }
 
@@ -248,12 +248,17 @@
         }
     }
 
+    /**
+     * Ends an attempt that the client no longer waits for. An attach that nobody waits for has no
+     * effect and says nothing about its backend, so that clients which attach and detach at once do
+     * not make the load balancer reject others.
+     */
     @Override
     public void close() {
         loop.execute(
                 () -> {
                     if (state == State.CONNECTING || state == State.ATTACHING) {
-                        endAttempt(Outcome.CANCELLED);
+                        endAttempt(Outcome.MOOT);
                     }
                 });
     }
--- a/relay/src/main/java/saltstage/amqp/ClientLink.java
+++ b/relay/src/main/java/saltstage/amqp/ClientLink.java
@@ -138,7 +138,7 @@
                         () -> {
                             if (state == State.ENDED || attempt.context() != context) {
                                 attempt.cancel();
-                                frontend.outcomeRecorder().attemptEnded(attempt, Outcome.CANCELLED);
+                                frontend.outcomeRecorder().attemptEnded(attempt, Outcome.MOOT);
                             } else {
                                 new BackendLink(
                                                 frontend,
--- a/relay/src/main/java/saltstage/stage/OutcomeRecorder.java
+++ b/relay/src/main/java/saltstage/stage/OutcomeRecorder.java
@@ -203,8 +203,8 @@
             attempt.context().recordPossibleExecution(attempt.sentAt());
         }
         boolean requestEnded = attempt.context().phase() == Phase.ENDED;
-        router.attemptEnded(
-                attempt.context(), requestEnded ? Outcome.CANCELLED : outcome, requestEnded);
+        Outcome reported = requestEnded && outcome != Outcome.MOOT ? Outcome.CANCELLED : outcome;
+        router.attemptEnded(attempt.context(), reported, requestEnded);
     }
 
     /**
