AMQP: an attach too large for a backend no longer ends the shared connection

Callers saw: beside a client with large attaches, the links of all clients at a backend were placed again and again, and waiting attaches failed.

Cause: an attach larger than the backend's frames was sent all the same, and the backend closed the connection; the first attaches on a new connection were written before the engine had taken over the backend's frame size, which failed the relay's own engine. Evidence: "amqp.backend.lost links=2 why=amqp:decode-error" and the stack of "Index 512 is out of bounds".

Change: an attach that does not fit is not sent (amqp.attach.large), those that wait for the open are sent in the next turn of the loop.

--- a/lab/src/main/java/saltstage/lab/amqp/FakeAmqpBackend.java
+++ b/lab/src/main/java/saltstage/lab/amqp/FakeAmqpBackend.java
@@ -62,6 +62,7 @@
     private volatile int rejectPercent;
     private volatile int messagesPerLink = 10;
     private volatile int sessionWindowBytes;
+    private volatile int maxFrameBytes = MAX_FRAME_BYTES;
     private volatile int sessionCount;
     private volatile int stolenLinkCount;
     private volatile int senderSettledFirstCount;
@@ -104,7 +105,7 @@
     private void configureEngine(Engine engine) {
         engine.connection()
                 .setContainerId(uid)
-                .setMaxFrameSize(MAX_FRAME_BYTES)
+                .setMaxFrameSize(maxFrameBytes)
                 .setChannelMax(65_535)
                 .openHandler(connection -> connection.open())
                 .closeHandler(connection -> connection.close())
@@ -394,6 +395,11 @@
         sessionWindowBytes = bytes;
     }
 
+    /** Sets the largest frame that connections from now on accept. */
+    public void setMaxFrameBytes(int bytes) {
+        maxFrameBytes = bytes;
+    }
+
     /** Returns the number of sessions opened so far. */
     public int sessionCount() {
         return sessionCount;
--- a/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
@@ -36,6 +36,7 @@
             value = AmqpFlood.class,
             names = {
                 "ATTACH_AND_DETACH",
+                "ATTACHES_WITH_MANY_PROPERTIES",
                 "HALF_DELIVERIES_ON_MANY_LINKS",
                 "LARGE_HALF_DELIVERIES",
                 "UNREAD_ANSWERS",
--- a/relay/src/main/java/org/apache/qpid/protonj2/engine/impl/ProtonRemoteAttach.java
+++ b/relay/src/main/java/org/apache/qpid/protonj2/engine/impl/ProtonRemoteAttach.java
@@ -1,5 +1,9 @@
 package org.apache.qpid.protonj2.engine.impl;
 
+import org.apache.qpid.protonj2.buffer.ProtonBuffer;
+import org.apache.qpid.protonj2.buffer.ProtonBufferAllocator;
+import org.apache.qpid.protonj2.codec.CodecFactory;
+import org.apache.qpid.protonj2.codec.Encoder;
 import org.apache.qpid.protonj2.engine.Link;
 import org.apache.qpid.protonj2.types.transport.Attach;
 
@@ -15,6 +19,16 @@
         return ((ProtonLink<?>) link).remoteAttach;
     }
 
+    /** Returns the size of the attach when it is encoded as it is sent on to a backend. */
+    public static int encodedBytes(Link<?> link) {
+        ProtonBuffer buffer = ProtonBufferAllocator.defaultAllocator().allocate();
+        Encoder encoder = CodecFactory.getEncoder();
+        encoder.writeObject(buffer, encoder.newEncoderState(), of(link));
+        int bytes = buffer.getReadableBytes();
+        buffer.close();
+        return bytes;
+    }
+
     /** Releases the parts of the attach whose size is up to the remote side. */
     public static void release(Link<?> link) {
         of(link).setProperties(null);
--- a/relay/src/main/java/saltstage/amqp/AmqpBackendConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpBackendConnection.java
@@ -61,10 +61,8 @@
                 .setMaxFrameSize(frontend.settings().limits().maxFrameBytes())
                 .setIdleTimeout(frontend.settings().timeouts().backendIdle().toMillis())
                 .openHandler(
-                        connection -> {
-                            opened = true;
-                            List.copyOf(links).forEach(BackendLink::connectionOpened);
-                        })
+                        // The engine takes over the backend's frame size only after this call.
+                        connection -> loop().execute(this::attachWaitingLinks))
                 .closeHandler(
                         connection -> {
                             ErrorCondition error = connection.getRemoteCondition();
@@ -102,6 +100,19 @@
         }
     }
 
+    private void attachWaitingLinks() {
+        if (isClosed() || isDiscarding()) {
+            return;
+        }
+        opened = true;
+        List.copyOf(links).forEach(BackendLink::connectionOpened);
+    }
+
+    /** Returns the largest frame that the backend accepts. */
+    long maxFrameBytes() {
+        return engine().connection().getRemoteMaxFrameSize();
+    }
+
     Backend backend() {
         return backend;
     }
--- a/relay/src/main/java/saltstage/amqp/BackendLink.java
+++ b/relay/src/main/java/saltstage/amqp/BackendLink.java
@@ -30,6 +30,9 @@
         /** Returns the key of the sessions that the link may share, or null if it needs its own. */
         Object sessionKey();
 
+        /** Returns the size of the attach that {@link #createLink} prepares, without its name. */
+        int attachBytes();
+
         /** The backend has attached the link. Returns false if the client no longer wants it. */
         boolean linkAttached(BackendLink attachedLink);
 
@@ -40,6 +43,9 @@
         void resume();
     }
 
+    /** The frame's header, and what the engine may encode longer than it was received. */
+    private static final int FRAME_OVERHEAD_BYTES = 64;
+
     private enum State {
         CONNECTING,
         ATTACHING,
@@ -152,6 +158,20 @@
             endAttempt(Outcome.UNREACHABLE);
             return;
         }
+        String name = attempt.context().attributes().clientRequestId();
+        int attachBytes = owner.attachBytes() + name.length() + FRAME_OVERHEAD_BYTES;
+        if (attachBytes > connection.maxFrameBytes()) {
+            Log.warn(
+                    "amqp.attach.large",
+                    "peer",
+                    backend().entry().uid(),
+                    "bytes",
+                    attachBytes,
+                    "limit",
+                    connection.maxFrameBytes());
+            endAttempt(Outcome.MOOT);
+            return;
+        }
         try {
             session = connection.sessionFor(owner.sessionKey());
         } catch (IllegalStateException tooManySessions) { // the backend's session limit is reached
@@ -162,11 +182,7 @@
         session.addLink(this);
         // Link names are unique for a pair of containers (2.6.1), and the relay is one container to
         // the backend. Two clients that chose the same name must not take over each other's link.
-        link =
-                owner.createLink(
-                        session.session(),
-                        connection,
-                        attempt.context().attributes().clientRequestId());
+        link = owner.createLink(session.session(), connection, name);
         link.closeHandler(ended -> detachReceived(ended.getRemoteCondition()))
                 .detachHandler(ended -> detachReceived(ended.getRemoteCondition()))
                 .openHandler(opened -> attachReceived());
--- a/relay/src/main/java/saltstage/amqp/ClientLink.java
+++ b/relay/src/main/java/saltstage/amqp/ClientLink.java
@@ -6,6 +6,7 @@
 import org.apache.qpid.protonj2.engine.Link;
 import org.apache.qpid.protonj2.engine.LinkState;
 import org.apache.qpid.protonj2.engine.Session;
+import org.apache.qpid.protonj2.engine.impl.ProtonRemoteAttach;
 import org.apache.qpid.protonj2.types.Symbol;
 import org.apache.qpid.protonj2.types.messaging.Source;
 import org.apache.qpid.protonj2.types.messaging.Target;
@@ -219,6 +220,11 @@
         }
     }
 
+    @Override
+    public final int attachBytes() {
+        return ProtonRemoteAttach.encodedBytes(link);
+    }
+
     @Override
     public final boolean linkAttached(BackendLink attachedLink) {
         if (state != State.ATTACHING && state != State.REATTACHING
