AMQP: answer and free links whose client detached before the answer

Callers saw: no answer to the attach and the detach; the relay kept each such link until its session ended, and its memory grew with every one.

Cause: the engine cannot open a link that was detached, and closing one that was never opened frees nothing. Evidence: 567 live engine links on four connections after 4 s below the limit of attaches, 25 attempts in progress.

Change: ProtonWithdrawnLinks answers both frames and frees the link; a closed connection releases its sessions at once.

--- a/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
@@ -642,6 +642,7 @@
             linksEnded = true;
             List.copyOf(links).forEach(ClientLink::clientLeft);
             memory.close();
+            sessions.clear(); // timers hold the connection longer than its sessions may be kept
             frontend.removeConnection(this);
         }
     }
--- a/relay/src/main/java/saltstage/amqp/ClientLink.java
+++ b/relay/src/main/java/saltstage/amqp/ClientLink.java
@@ -7,6 +7,7 @@
 import org.apache.qpid.protonj2.engine.LinkState;
 import org.apache.qpid.protonj2.engine.Session;
 import org.apache.qpid.protonj2.engine.impl.ProtonRemoteAttach;
+import org.apache.qpid.protonj2.engine.impl.ProtonWithdrawnLinks;
 import org.apache.qpid.protonj2.types.Symbol;
 import org.apache.qpid.protonj2.types.messaging.Source;
 import org.apache.qpid.protonj2.types.messaging.Target;
@@ -99,17 +100,21 @@
         state = State.ENDED;
         connection.removeLink(this);
         if (connection.canSendFrames()) {
-            copyClientSettings();
-            if (link.isReceiver()) {
-                link.setTarget((Target) null);
-            } else {
-                link.setSource(null);
-            }
-            link.open();
+            openWithoutTerminus();
             link.setCondition(condition).close();
         }
     }
 
+    private void openWithoutTerminus() {
+        copyClientSettings();
+        if (link.isReceiver()) {
+            link.setTarget((Target) null);
+        } else {
+            link.setSource(null);
+        }
+        link.open();
+    }
+
     private void copyClientSettings() {
         if (link.getState() == LinkState.IDLE) {
             link.setSource(link.getRemoteSource());
@@ -370,16 +375,27 @@
         }
         if (connection.canSendFrames()) {
             if (!link.getSession().isRemotelyClosed()) { // the end of a session ends its links, too
-                link.close();
+                endEngineLink();
             }
             onEnded();
         }
     }
 
+    private void endEngineLink() {
+        if (link.getState() == LinkState.IDLE) {
+            ProtonWithdrawnLinks.answer(link);
+        } else {
+            link.close();
+        }
+    }
+
     /** Detaches the link with an error after a protocol violation that concerns this link alone. */
     protected final void detachForViolation(ErrorCondition condition) {
         Log.warn("amqp.link.broken", "from", remoteAddress(), "why", condition.getDescription());
         if (connection.canSendFrames()) {
+            if (link.getState() == LinkState.IDLE) {
+                openWithoutTerminus();
+            }
             link.setCondition(condition).close();
         }
         clientLeft();
