AMQP: bound the symbols that the engine keeps

Callers saw: attaches whose properties had ever new names exhausted the memory (11 OutOfMemoryError in 5 s, 6 probes without an answer).

Cause: protonj2 keeps every short symbol it decodes for good. Evidence: 172,562 symbols in a histogram during the flood.

--- a/lab/src/test/java/saltstage/lab/amqp/AmqpFlood.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpFlood.java
@@ -41,6 +41,21 @@
         }
     },
 
+    /** Attaches whose properties have ever new names, each followed by a detach. */
+    ATTACHES_WITH_NEW_SYMBOLS(4) {
+        @Override
+        void run(Flooder flooder) throws IOException {
+            byte[] detach = RawAmqpClient.detach(0);
+            while (flooder.isRunning()) {
+                int number = flooder.uniqueNumber();
+                flooder.write(
+                        RawAmqpClient.attachSender(
+                                "l" + number, 0, "status-report", number + "-", 500));
+                flooder.write(detach);
+            }
+        }
+    },
+
     /** A delivery in frames that carry one byte or none. */
     TINY_TRANSFERS(1) {
         @Override
--- a/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
@@ -32,16 +32,7 @@
     private static final int MAX_RESIDENT_MB = 192;
 
     @ParameterizedTest
-    @EnumSource(
-            value = AmqpFlood.class,
-            names = {
-                "ATTACH_AND_DETACH",
-                "ATTACHES_WITH_MANY_PROPERTIES",
-                "HALF_DELIVERIES_ON_MANY_LINKS",
-                "LARGE_HALF_DELIVERIES",
-                "UNREAD_ANSWERS",
-                "MIXED_FRAMES"
-            })
+    @EnumSource(value = AmqpFlood.class, mode = EnumSource.Mode.EXCLUDE, names = "TINY_TRANSFERS")
     void otherClientsAreServedAndMemoryStaysBounded(AmqpFlood flood) throws Exception {
         try (AmqpTestEnvironment env = AmqpTestEnvironment.withServiceMemory(2, "")) {
             AnswerTimeProbe probe;
--- a/lab/src/test/java/saltstage/lab/amqp/RawAmqpClient.java
+++ b/lab/src/test/java/saltstage/lab/amqp/RawAmqpClient.java
@@ -116,6 +116,12 @@
 
     /** An attach as a sender to this address, with this number of short properties. */
     static byte[] attachSender(String name, int handle, String address, int properties) {
+        return attachSender(name, handle, address, "p", properties);
+    }
+
+    /** The same with properties whose names begin with this text. */
+    static byte[] attachSender(
+            String name, int handle, String address, String propertyPrefix, int properties) {
         return frame(
                 ATTACH,
                 string(name),
@@ -131,7 +137,7 @@
                 NULL,
                 NULL,
                 NULL,
-                properties == 0 ? NULL : shortProperties(properties));
+                properties == 0 ? NULL : shortProperties(propertyPrefix, properties));
     }
 
     /** An attach as a receiver from this address. */
@@ -185,10 +191,10 @@
         return frame(DISPOSITION, TRUE, uint(first), uint(last), TRUE, described(0x24));
     }
 
-    private static byte[] shortProperties(int count) {
+    private static byte[] shortProperties(String prefix, int count) {
         byte[][] items = new byte[2 * count][];
         for (int i = 0; i < count; i++) {
-            items[2 * i] = symbol("p" + i);
+            items[2 * i] = symbol(prefix + i);
             items[2 * i + 1] = uint(i);
         }
         return sized(0xd1, items);
--- a/relay/src/main/java/saltstage/amqp/AmqpConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpConnection.java
@@ -12,6 +12,7 @@
 import org.apache.qpid.protonj2.engine.EngineHandler;
 import org.apache.qpid.protonj2.engine.EventHandler;
 import org.apache.qpid.protonj2.engine.impl.ProtonConstants;
+import org.apache.qpid.protonj2.engine.impl.ProtonSymbolCache;
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
 import saltstage.log.Log;
 import saltstage.net.Connection;
@@ -164,6 +165,7 @@
                     throw handledByErrorHandler;
                 }
             }
+            ProtonSymbolCache.trim();
         }
         if (frameSplitter.hasWholeFrame() && !closed && !discarding) {
             framesPending = true;
--- a/relay/src/main/java/saltstage/amqp/MemoryEstimates.java
+++ b/relay/src/main/java/saltstage/amqp/MemoryEstimates.java
@@ -87,7 +87,10 @@
         if (value instanceof Binary binary) {
             return ELEMENT_BYTES + binary.getLength();
         }
-        if (value instanceof CharSequence || value instanceof Symbol) {
+        if (value instanceof Symbol symbol) {
+            return TEXT_BYTES + symbol.getLength();
+        }
+        if (value instanceof CharSequence) {
             return TEXT_BYTES + (long) CHARACTER_BYTES * value.toString().length();
         }
         return ELEMENT_BYTES;
