Remember ids that may not run twice, in both processes of a replacement

Callers saw: a request of a class that may not be repeated was sent on, its client left, the same id came again, and the backend got it twice; the other process of a replacement knew no id of the first.

Cause: only the ids of open requests were known, in the memory of one process.

Change: RequestIdTable keeps such ids from admission until three times the longest GiveUp (at least a minute) after the request, in a file that both processes map. Ids that were never attempted are free at once. A full table answers BUSY.

Measured: UpgradeTest.idThatMayHaveRunIsNotSentAgainByEitherProcess failed before (the second request was sent and failed at its deadline) and passes.

--- a/relay/src/main/java/saltstage/lifecycle/RelayServer.java
+++ b/relay/src/main/java/saltstage/lifecycle/RelayServer.java
@@ -16,6 +16,7 @@
 import saltstage.config.Configuration;
 import saltstage.config.OperatorSettings;
 import saltstage.handover.ProcessSlots;
+import saltstage.handover.RequestIdFile;
 import saltstage.handover.Suspensions;
 import saltstage.log.Log;
 import saltstage.log.LogSetup;
@@ -26,7 +27,9 @@
 import saltstage.persistence.Takeover;
 import saltstage.session.BackendRegistry;
 import saltstage.session.MonotonicClock;
+import saltstage.session.RequestIdTable;
 import saltstage.session.Timers;
+import saltstage.stage.AdmissionControl;
 import saltstage.stage.RelayPipeline;
 import saltstage.stage.Threads;
 import saltstage.wire.BackendList;
@@ -101,6 +104,9 @@
         pipeline =
                 new RelayPipeline(
                         config, clock, timers, backends, counters, this::watchBackendList);
+        if (folder != null && AdmissionControl.hasUnrepeatableClass(config)) {
+            shareRequestIds(folder.resolve(config.name() + ".ids"));
+        }
         operations =
                 new RelayOperations(
                         clock,
@@ -129,6 +135,18 @@
                                 this::backendListReceived);
     }
 
+    /** Another process of this relay, or a later one, must know the ids that this one has used. */
+    private void shareRequestIds(Path file) {
+        try {
+            pipeline.admissionControl()
+                    .useRequestIds(
+                            new RequestIdTable(
+                                    RequestIdFile.map(file, RequestIdTable.BYTES), config.seed()));
+        } catch (IOException e) { // the relay serves all the same, and knows its own ids
+            Log.warn("handover.fault", "why", e.getMessage());
+        }
+    }
+
     private ProcessSlots claimSlot(Path folder) {
         try {
             return ProcessSlots.claim(
--- a/relay/src/main/java/saltstage/stage/AdmissionControl.java
+++ b/relay/src/main/java/saltstage/stage/AdmissionControl.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.lang.ref.WeakReference;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Set;
@@ -9,12 +10,14 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import saltstage.Api;
+import saltstage.Api.Idempotency;
 import saltstage.config.Configuration;
 import saltstage.log.Log;
 import saltstage.session.ClientConnection;
 import saltstage.session.MonotonicClock;
 import saltstage.session.RequestAttributes;
 import saltstage.session.RequestContext;
+import saltstage.session.RequestIdTable;
 import saltstage.session.Timers;
 import saltstage.wire.MalformedException;
 import saltstage.wire.OpenRequest;
@@ -42,6 +45,11 @@
      */
     private static final Duration OVERDUE_GRACE = Duration.ofMillis(25);
 
+    /** How long at least an id is known after its request has ended. */
+    private static final Duration MIN_USED_ID_RETENTION = Duration.ofMinutes(1);
+
+    private static final int CLIENT_TRIES = 3;
+
     private static final Duration RESTORE_TIMEOUT = Duration.ofSeconds(35);
 
     private final Configuration config;
@@ -55,6 +63,9 @@
     private final AtomicLong lastRequestId = new AtomicLong();
     private final Set<String> openRequestIds = ConcurrentHashMap.newKeySet();
 
+    /** The ids of requests that may not run twice; null if there is no class of such requests. */
+    private volatile RequestIdTable unrepeatableIds;
+
     AdmissionControl(
             Configuration config,
             MonotonicClock clock,
@@ -69,6 +80,24 @@
         this.router = router;
         this.attemptRunner = attemptRunner;
         this.outcomeRecorder = outcomeRecorder;
+        if (hasUnrepeatableClass(config)) {
+            unrepeatableIds =
+                    new RequestIdTable(
+                            ByteBuffer.allocateDirect(RequestIdTable.BYTES), config.seed());
+        }
+    }
+
+    /** Returns whether requests of some class may not run twice. */
+    public static boolean hasUnrepeatableClass(Configuration config) {
+        return config.settings().serviceClasses().stream()
+                .anyMatch(serviceClass -> serviceClass.idempotency() != Idempotency.IDEMPOTENT);
+    }
+
+    /**
+     * Uses a table that another process of this relay may use too; called before clients connect.
+     */
+    public void useRequestIds(RequestIdTable shared) {
+        unrepeatableIds = shared;
     }
 
     /**
@@ -135,6 +164,11 @@
             // backend.
             throw new MalformedException("id is in use");
         }
+        RequestIdTable.Claim claim = claimId(openRequest.id(), serviceClass, now);
+        if (claim == RequestIdTable.Claim.USED && backendId == null) {
+            openRequestIds.remove(openRequest.id());
+            throw new MalformedException("id was used before");
+        }
         client.setOpenRequest(openRequest);
         RequestContext context =
                 new RequestContext(lastRequestId.incrementAndGet(), attributes, deadline, client);
@@ -144,7 +178,8 @@
             // client that has left.
             context.end(RequestContext.Phase.WAITING);
             outcomeRecorder.clientLeft(context);
-        } else if (openRequestIds.size() > maxRequests(descriptorLimit - reservedDescriptors)) {
+        } else if (openRequestIds.size() > maxRequests(descriptorLimit - reservedDescriptors)
+                || claim == RequestIdTable.Claim.NO_ROOM) {
             logFull();
             outcomeRecorder.reject(context, config.maxRetryAfter());
         } else if (backendId != null) {
@@ -210,7 +245,32 @@
 
     /** Releases the id of a request whose connection has ended, so that it may be used again. */
     void release(RequestContext context) {
-        openRequestIds.remove(context.attributes().clientRequestId());
+        String id = context.attributes().clientRequestId();
+        if (isUnrepeatable(context.attributes().serviceClass())) {
+            // Without an attempt it has not run, and the client may come again with it.
+            Instant now = clock.now();
+            boolean mayHaveRun = context.currentAttempt() != null;
+            unrepeatableIds.release(id, mayHaveRun ? now.plus(usedIdRetention()) : now);
+        }
+        openRequestIds.remove(id);
+    }
+
+    /** Claims the id of a request that may not run twice; any other id counts as new. */
+    private RequestIdTable.Claim claimId(String id, int serviceClass, Instant now) {
+        return isUnrepeatable(serviceClass)
+                ? unrepeatableIds.claim(id, now)
+                : RequestIdTable.Claim.NEW;
+    }
+
+    private boolean isUnrepeatable(int serviceClass) {
+        return config.settings().serviceClasses().get(serviceClass).idempotency()
+                != Idempotency.IDEMPOTENT;
+    }
+
+    /** A client tries up to three times, each for as long as the class allows. */
+    private Duration usedIdRetention() {
+        Duration tries = config.maxClientTimeout().multipliedBy(CLIENT_TRIES);
+        return tries.compareTo(MIN_USED_ID_RETENTION) > 0 ? tries : MIN_USED_ID_RETENTION;
     }
 
     /** Returns the number of requests that are waiting or established. */
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -214,6 +214,40 @@
         }
     }
 
+    /**
+     * Guards against a request of a class that may not be repeated which runs twice: when its id
+     * comes again after its client has left, and at the other process of a replacement.
+     */
+    @Test
+    public void idThatMayHaveRunIsNotSentAgainByEitherProcess() throws Exception {
+        Files.writeString(config, Files.readString(config).replace("retryable", "fragile"));
+        Relay old = startReady("old");
+        TestConnection first = environment.sendOpen("u1", 20_000);
+        assertTrue(backend.accept().readLine().startsWith("OPEN u1 "));
+        first.close();
+        assertEquals("ERR id was used before", awaitAnswer("u1"));
+        TestConnection established = environment.sendOpen("u2", 20_000);
+        environment.establish(backend, established);
+        Relay next = startReady("next");
+        ProcessSupervisor.stop(old.pid()); // so that the new process accepts
+        assertEquals("ERR id was used before", awaitAnswer("u1"));
+        assertEquals("ERR id was used before", awaitAnswer("u2"));
+        environment.establish(backend, environment.sendOpen("u3", 20_000));
+        ProcessSupervisor.signal(old.pid(), "CONT");
+        assertTrue(isReady(next));
+        assertTrue("nothing more was sent", backend.hasNoConnectionWithin(200));
+    }
+
+    /** Sends a request until its answer is not that an earlier one with its id is still ending. */
+    private String awaitAnswer(String id) throws Exception {
+        String answer = environment.sendOpen(id, 2_000).readLine();
+        while ("ERR id is in use".equals(answer)) {
+            Thread.sleep(10);
+            answer = environment.sendOpen(id, 2_000).readLine();
+        }
+        return answer;
+    }
+
     private static void assertPong(TestConnection line) {
         try {
             assertEquals("PONG", line.sendLine("PING").readLine());
