--- a/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
+++ b/relay/src/main/java/saltstage/amqp/AmqpClientConnection.java
@@ -477,6 +477,10 @@
         link.setLinkedResource(clientLink);
         link.closeHandler(ended -> clientDetached(clientLink, release));
         link.detachHandler(ended -> clientDetached(clientLink, release));
+        startOrReject(link, clientLink, dynamic);
+    }
+
+    private void startOrReject(Link<?> link, ClientLink clientLink, boolean dynamic) {
         if (link.isReceiver() && link.getRemoteTarget() instanceof Coordinator) {
             clientLink.rejectAttach(ErrorConditions.notImplemented("transactions"));
         } else if (dynamic) {
--- a/relay/src/main/java/saltstage/amqp/ClientReceiverLink.java
+++ b/relay/src/main/java/saltstage/amqp/ClientReceiverLink.java
@@ -107,12 +107,14 @@
 
     /** Detaches a link whose client does not take its deliveries when its memory is used up. */
     private void detachIfOverShare() {
-        if (heldBytes > frontend().settings().limits().maxFrameBytes() && connection().memory().isOverShare()) {
+        if (heldBytes > frontend().settings().limits().maxFrameBytes()
+            && connection().memory().isOverShare()) {
             frontend().countRefusedForMemory();
             // Not at once: the engine of the backend's connection is handling a transfer.
             connection().loop().execute(() -> {
                 if (!isEnded()) {
-                    detachForViolation(ErrorConditions.limitExceeded("deliveries wait and no memory is left"));
+                    detachForViolation(
+                        ErrorConditions.limitExceeded("deliveries wait and no memory is left"));
                 }
             });
         }
--- a/relay/src/main/java/saltstage/lifecycle/RelayServer.java
+++ b/relay/src/main/java/saltstage/lifecycle/RelayServer.java
@@ -107,15 +107,7 @@
         if (folder != null && AdmissionControl.hasUnrepeatableClass(config)) {
             shareRequestIds(folder.resolve(config.name() + ".ids"));
         }
-        operations =
-                new RelayOperations(
-                        clock,
-                        backends,
-                        pipeline,
-                        counters,
-                        suspensions,
-                        canHandOver ? claimSlot(folder) : null,
-                        canHandOver ? folder.resolve(config.name() + ".takeover") : null);
+        operations = createOperations(canHandOver ? folder : null);
         subscription =
                 new DiscoverySubscription(
                         config.discoveryAddress(),
@@ -135,6 +127,20 @@
                                 this::backendListReceived);
     }
 
+    /** Creates the operations; the folder is null where no process can hand over to another. */
+    private RelayOperations createOperations(Path handoverFolder) {
+        return new RelayOperations(
+                clock,
+                backends,
+                pipeline,
+                counters,
+                suspensions,
+                handoverFolder == null ? null : claimSlot(handoverFolder),
+                handoverFolder == null
+                        ? null
+                        : handoverFolder.resolve(config.name() + ".takeover"));
+    }
+
     /** Another process of this relay, or a later one, must know the ids that this one has used. */
     private void shareRequestIds(Path file) {
         try {
--- a/relay/src/main/java/saltstage/stage/AdmissionControl.java
+++ b/relay/src/main/java/saltstage/stage/AdmissionControl.java
@@ -141,15 +141,7 @@
             throws MalformedException, IOException {
         Instant now = clock.now();
         int serviceClass = config.serviceClassIndex(openRequest.field("c"));
-        RequestAttributes attributes =
-                new RequestAttributes(
-                        openRequest.id(),
-                        serviceClass,
-                        config.tenantIndex(openRequest.field("t")),
-                        openRequest.key(),
-                        openRequest.field("g"),
-                        openRequest.numericField("h", Api.NONE),
-                        openRequest.hasFlag("again"));
+        RequestAttributes attributes = attributesOf(openRequest, serviceClass);
         String backendId = openRequest.field("at");
         Duration timeout = openRequest.clientTimeout(config.clientTimeout(serviceClass));
         Instant deadline =
@@ -190,6 +182,18 @@
         return context;
     }
 
+    private RequestAttributes attributesOf(OpenRequest openRequest, int serviceClass)
+            throws MalformedException {
+        return new RequestAttributes(
+                openRequest.id(),
+                serviceClass,
+                config.tenantIndex(openRequest.field("t")),
+                openRequest.key(),
+                openRequest.field("g"),
+                openRequest.numericField("h", Api.NONE),
+                openRequest.hasFlag("again"));
+    }
+
     /**
      * Admits a request from a frontend that enforces its own limits, and hands it to the router.
      * The context is passed to the consumer before that, because the answer may come at once and on
