Known failure: attaches with new symbols; SharedSessionTest waits for outcomes

SharedSessionTest: 11,012 deliveries pending where 11,000 were demanded. The count of the other backend says that it has accepted them, not that their outcomes have reached the client; the test compared the client's count at that moment. It now waits for exactly the same count, and still fails if it never comes.

--- a/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/AmqpFloodTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -32,8 +33,21 @@
     private static final int MAX_RESIDENT_MB = 192;
 
     @ParameterizedTest
-    @EnumSource(AmqpFlood.class)
+    @EnumSource(
+            value = AmqpFlood.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = "ATTACHES_WITH_NEW_SYMBOLS")
     void otherClientsAreServedAndMemoryStaysBounded(AmqpFlood flood) throws Exception {
+        floodAndCheck(flood);
+    }
+
+    /** A test of its own, as it is a known failure: see KNOWN-RED.txt. */
+    @Test
+    void otherClientsAreServedBesideAttachesWithNewSymbols() throws Exception {
+        floodAndCheck(AmqpFlood.ATTACHES_WITH_NEW_SYMBOLS);
+    }
+
+    private static void floodAndCheck(AmqpFlood flood) throws Exception {
         try (AmqpTestEnvironment env = AmqpTestEnvironment.withServiceMemory(2, "")) {
             AnswerTimeProbe probe;
             int connects;
--- a/lab/src/test/java/saltstage/lab/amqp/SharedSessionTest.java
+++ b/lab/src/test/java/saltstage/lab/amqp/SharedSessionTest.java
@@ -122,7 +122,10 @@
                     "the remaining deliveries wait at their sender",
                     () -> client.unsentCount() == slowLinks * 450);
             assertEquals(0, slow.acceptedIds().size());
-            assertEquals(slowLinks * 500, tracker.pendingCount());
+            // The last outcomes of the other backend may still be on their way to the client.
+            env.await(
+                    () -> tracker.pendingCount() + " pending of " + slowLinks * 500,
+                    () -> tracker.pendingCount() == slowLinks * 500);
         }
     }
 
