Tests: one place for started relays and for mutations of the configuration

The tests of a replacement described a started relay each for itself, and the tests of the shared configuration its mutations. ProcessSupervisor.Relay and TestMutations hold them now; no check has changed.

--- a/relay/src/test/java/saltstage/process/ConfigurationTest.java
+++ b/relay/src/test/java/saltstage/process/ConfigurationTest.java
@@ -17,9 +17,6 @@
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
-import saltstage.configuration.EntryKey;
-import saltstage.configuration.EntryKind;
-import saltstage.configuration.EntryValue;
 import saltstage.configuration.EntryValue.BackendState;
 import saltstage.configuration.Mutation;
 import saltstage.configuration.follower.ScriptedSource;
@@ -72,26 +69,6 @@
                 environment.config(512, RelayTestEnvironment.backendList(41, true)), settings);
     }
 
-    private static Mutation backend(String id, TestServer server, BackendState state) {
-        return new Mutation(
-                new EntryKey(EntryKind.BACKEND, id),
-                state == null
-                        ? null
-                        : new EntryValue.Backend(server.endpoint(), "a", 0, state, 1, 0));
-    }
-
-    private static Mutation suspension(String id, String reason) {
-        return new Mutation(
-                new EntryKey(EntryKind.SUSPENSION, id),
-                reason == null ? null : new EntryValue.Suspension(reason));
-    }
-
-    private static Mutation setting(String name, String text) {
-        return new Mutation(
-                new EntryKey(EntryKind.SETTING, name),
-                text == null ? null : new EntryValue.Setting(text));
-    }
-
     private void accept(Mutation... mutations) throws InterruptedException {
         long revision = view.accept(mutations).revision();
         RelayTestEnvironment.await(
@@ -123,14 +100,16 @@
     public void anAddedBackendGetsClientsADrainingOneNoneAndThoseOfAGoneOneAreMoved()
             throws Exception {
         startRelay();
-        accept(backend("s-1", first, BackendState.READY));
+        accept(TestMutations.backend("s-1", first, BackendState.READY));
         TestConnection client = environment.sendOpen("a1", 20_000);
         environment.establish(first, client);
         accept(
-                backend("s-1", first, BackendState.DRAINING),
-                backend("s-2", second, BackendState.READY));
+                TestMutations.backend("s-1", first, BackendState.DRAINING),
+                TestMutations.backend("s-2", second, BackendState.READY));
         assertAllGoTo(second, "b");
-        accept(backend("s-1", first, null)); // as with discovery, only its removal moves them
+        accept(
+                TestMutations.backend(
+                        "s-1", first, null)); // as with discovery, only its removal moves them
         assertTrue(client.readLine().startsWith("MOVE"));
         assertTrue(
                 "the relay does not connect to discovery",
@@ -141,9 +120,9 @@
     public void aRestartWithAllSourcesGoneServesByTheLastRevision() throws Exception {
         startRelay();
         accept(
-                backend("s-1", first, BackendState.READY),
-                backend("s-2", second, BackendState.READY),
-                suspension("s-1", "disk"));
+                TestMutations.backend("s-1", first, BackendState.READY),
+                TestMutations.backend("s-2", second, BackendState.READY),
+                TestMutations.suspension("s-1", "disk"));
         environment.kill();
         source.close();
         startRelay();
@@ -161,17 +140,19 @@
     @Test
     public void aSuspensionHoldsUntilBothItAndTheOperatorsCallAreLifted() throws Exception {
         startRelay();
-        accept(backend("s-1", first, BackendState.READY));
+        accept(TestMutations.backend("s-1", first, BackendState.READY));
         TestConnection client = environment.sendOpen("a", 20_000);
         environment.establish(first, client);
-        accept(backend("s-2", second, BackendState.READY), suspension("s-1", "disk"));
+        accept(
+                TestMutations.backend("s-2", second, BackendState.READY),
+                TestMutations.suspension("s-1", "disk"));
         assertTrue(client.readLine().startsWith("MOVE")); // as after an operator call
         assertAllGoTo(second, "a");
         assertEquals("done suspended\n", environment.operatorCall("SUSPEND s-1"));
-        accept(suspension("s-1", null));
+        accept(TestMutations.suspension("s-1", null));
         assertAllGoTo(second, "b"); // the operator's suspension is still in force
         assertEquals("done restored\n", environment.operatorCall("RESTORE s-1"));
-        accept(suspension("s-2", "disk"));
+        accept(TestMutations.suspension("s-2", "disk"));
         assertAllGoTo(first, "c");
         assertEquals(
                 "error still suspended by configuration: s-2\n",
@@ -182,11 +163,13 @@
     @Test
     public void theLogsSettingsAreChangedAndOthersNamedOnce() throws Exception {
         startRelay();
-        accept(setting("log.format", "json"), setting("pool.size", "3"));
+        accept(
+                TestMutations.setting("log.format", "json"),
+                TestMutations.setting("pool.size", "3"));
         environment.awaitLogged("\"configuration.applied\"");
-        accept(setting("pool.size", "4"));
-        accept(setting("log.format", null));
-        accept(setting("log.level", "loud"));
+        accept(TestMutations.setting("pool.size", "4"));
+        accept(TestMutations.setting("log.format", null));
+        accept(TestMutations.setting("log.level", "loud"));
         assertEquals(
                 1,
                 environment.logLines.stream()
--- a/relay/src/test/java/saltstage/process/ProcessSupervisor.java
+++ b/relay/src/test/java/saltstage/process/ProcessSupervisor.java
@@ -65,11 +65,37 @@
         }
     }
 
+    /** A relay process that this supervisor has started. */
+    record Relay(long pid, int admin, Path log) {
+        boolean isReady(RelayTestEnvironment environment) {
+            try {
+                return environment.operatorCall(admin, "STATUS").startsWith("done");
+            } catch (IOException notYet) {
+                return false;
+            }
+        }
+
+        boolean hasLogged(String text) {
+            try {
+                return Files.readString(log).contains(text);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    /** Starts a relay with this configuration and further arguments, and a log of this name. */
+    Relay launch(String name, Path config, List<String> furtherArguments) throws Exception {
+        int admin = RelayTestEnvironment.freePort();
+        Path log = directory.resolve(name + ".log");
+        return new Relay(start(config, admin, log, furtherArguments), admin, log);
+    }
+
     /**
      * Starts a relay with this configuration, operator port and further arguments; its log is
      * written to the file.
      */
-    long start(Path config, int adminPort, Path log, List<String> furtherArguments)
+    private long start(Path config, int adminPort, Path log, List<String> furtherArguments)
             throws Exception {
         List<String> arguments = new ArrayList<>(List.of("serve", "--config", config.toString()));
         arguments.addAll(furtherArguments);
@@ -129,6 +155,18 @@
         }
     }
 
+    /** Kills a relay with SIGKILL; returns once it has ended. */
+    void kill(Relay relay) throws Exception {
+        signal(relay.pid(), "KILL");
+        awaitEnd(relay);
+    }
+
+    /** Waits until a relay has ended. */
+    void awaitEnd(Relay relay) throws InterruptedException {
+        RelayTestEnvironment.await(
+                relay.pid() + " has ended", () -> exitCodes.containsKey(relay.pid()));
+    }
+
     @Override
     public void close() throws Exception {
         supervisor.destroy();
--- a/relay/src/test/java/saltstage/process/RelayTestEnvironment.java
+++ b/relay/src/test/java/saltstage/process/RelayTestEnvironment.java
@@ -52,7 +52,7 @@
         closeables.add(discovery);
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -19,6 +19,7 @@
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
+import saltstage.process.ProcessSupervisor.Relay;
 import saltstage.process.RelayTestEnvironment.TestConnection;
 import saltstage.process.RelayTestEnvironment.TestServer;
 
@@ -71,36 +72,16 @@
         }
     }
 
-    private record Relay(long pid, int admin, Path log) {}
-
     private Relay launch(String name) throws Exception {
-        int admin = freePort();
-        Path log = platform.directory.resolve(name + ".log");
-        return new Relay(platform.start(config, admin, log, furtherArguments), admin, log);
+        return platform.launch(name, config, furtherArguments);
     }
 
     private Relay startReady(String name) throws Exception {
         Relay relay = launch(name);
-        RelayTestEnvironment.await(name + " serves", () -> isReady(relay));
+        RelayTestEnvironment.await(name + " serves", () -> relay.isReady(environment));
         return relay;
     }
 
-    private boolean isReady(Relay relay) {
-        try {
-            return environment.operatorCall(relay.admin(), "STATUS").startsWith("done");
-        } catch (IOException notYet) {
-            return false;
-        }
-    }
-
-    private static boolean hasLogged(Relay relay, String text) {
-        try {
-            return Files.readString(relay.log()).contains(text);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Test
     public void noNewClientIsLostAndEstablishedOnesAreMovedToTheNewProcess() throws Exception {
         Relay old = startReady("old");
@@ -112,7 +93,7 @@
         Relay next = startReady("next");
         ProcessSupervisor.signal(old.pid(), "TERM");
         RelayTestEnvironment.await(
-                "the old process has stopped accepting", () -> hasLogged(old, "drain.start"));
+                "the old process has stopped accepting", () -> old.hasLogged("drain.start"));
         List<TestConnection> others = new ArrayList<>();
         for (int i = 0; i < 10; i++) { // clients that connect during the handover are all served
             TestConnection newClient = environment.sendOpen("n" + i, 20_000);
@@ -130,11 +111,10 @@
                 "the old process ends", () -> platform.exitCodes.containsKey(old.pid()));
         assertEquals(0, (int) platform.exitCodes.get(old.pid()));
         environment.establish(backend, environment.sendOpen("u9", 20_000));
-        assertTrue(isReady(next));
-        assertTrue(hasLogged(old, "succeeded=true"));
+        assertTrue(next.isReady(environment));
+        assertTrue(old.hasLogged("succeeded=true"));
         assertFalse(
-                "new clients connect to the new process and are not moved",
-                hasLogged(old, " id=n"));
+                "new clients connect to the new process and are not moved", old.hasLogged(" id=n"));
     }
 
     /** Writes settings with an AMQP frontend at this port, for the relays started from now on. */
@@ -177,14 +157,14 @@
         Relay old = startReady("old");
         Socket amqpClient = openAmqp(amqpPort);
         Relay next = startReady("next");
-        assertTrue(hasLogged(next, "amqp.waiting"));
+        assertTrue(next.hasLogged("amqp.waiting"));
         assertTrue("the old process still listens", canOpenAmqp(amqpPort));
         // A line client that is established keeps the old process from ending at once.
         TestConnection lineClient = environment.sendOpen("u1", 20_000);
         environment.establish(backend, lineClient);
         ProcessSupervisor.signal(old.pid(), "TERM");
         RelayTestEnvironment.await(
-                "the new process listens for AMQP clients", () -> hasLogged(next, "amqp.ready"));
+                "the new process listens for AMQP clients", () -> next.hasLogged("amqp.ready"));
         assertTrue(canOpenAmqp(amqpPort));
         String lastFrames =
                 new String(amqpClient.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -234,7 +214,7 @@
         assertEquals("ERR id was used before", awaitAnswer("u2"));
         environment.establish(backend, environment.sendOpen("u3", 20_000));
         ProcessSupervisor.signal(old.pid(), "CONT");
-        assertTrue(isReady(next));
+        assertTrue(next.isReady(environment));
         assertTrue("nothing more was sent", backend.hasNoConnectionWithin(200));
     }
 
@@ -271,7 +251,7 @@
                 "the old process has stopped accepting",
                 () -> {
                     assertPong(partial); // each PING restarts the limit of 2 s
-                    return hasLogged(old, "drain.start");
+                    return old.hasLogged("drain.start");
                 });
         partial.sendRaw("OPEN u3 ");
         Thread.sleep(200); // four intervals at which the drain checks for remaining clients
