Replacement: the new process applies the configuration that the old one persists

Cause: both processes followed the sources, a revision may be in force only once it is on the disk, and one of them could write. The other had the change 17 ms after the first (its log: a write refused, "the store is open in another process", five times at growing pauses) and no way to learn that the revision was on the disk by then.

Change: of two processes that share a directory, the one that holds its lock asks the sources and writes. The other (ConfigurationStandby) asks none, applies every 100 ms what the writer has acknowledged as durable, and becomes the writer when the lock is free: it first adopts what the disk holds, or writes what it has in force where the disk has lost it.

--- a/relay/src/main/java/saltstage/configuration/follower/ConfigurationStore.java
+++ b/relay/src/main/java/saltstage/configuration/follower/ConfigurationStore.java
@@ -125,7 +125,7 @@
         return persistedConfiguration;
     }
 
-    private static PersistedConfiguration load(Store store) throws IOException {
+    static PersistedConfiguration load(Store store) throws IOException {
         try (Snapshot snapshot = store.snapshot()) {
             byte[] state = snapshot.get(STATE_KEY);
             if (state == null) {
@@ -192,11 +192,28 @@
             change.mutations().forEach(mutation -> putOrDelete(batch, mutation, change.revision()));
             newRevision = new StoredRevision(change.revision(), change.digest());
         }
-        commit(batch, newRevision);
+        // A state just received from a source counts as confirmed.
+        commit(batch, newRevision, clock.instant());
     }
 
     @Override
     public void replace(ConfigurationView view) throws IOException {
+        replace(new PersistedConfiguration(view, clock.instant())); // as received from a source
+    }
+
+    /**
+     * Replaces the durable state and the time of its last confirmation. Throws if the disk holds a
+     * newer revision.
+     */
+    void replace(PersistedConfiguration replacement) throws IOException {
+        ConfigurationView view = replacement.view();
+        if (view.revision() < durableRevision.revision()) {
+            throw new IOException(
+                    "revision "
+                            + view.revision()
+                            + " is older than the persisted revision "
+                            + durableRevision.revision());
+        }
         Batch batch = new Batch();
         Set<String> retainedKeys = new HashSet<>();
         view.entries().keySet().forEach(key -> retainedKeys.add(key.text()));
@@ -212,18 +229,24 @@
         for (Entry entry : view.entries().values()) {
             putOrDelete(batch, new Mutation(entry.key(), entry.value()), entry.revision());
         }
-        commit(batch, new StoredRevision(view.revision(), view.digest()));
+        commit(
+                batch,
+                new StoredRevision(view.revision(), view.digest()),
+                replacement.confirmedAt());
     }
 
-    private void commit(Batch batch, StoredRevision newRevision) throws IOException {
+    private void commit(Batch batch, StoredRevision newRevision, Instant confirmedAt)
+            throws IOException {
         if (newRevision.equals(durableRevision)) {
             return;
         }
-        Instant now = clock.instant(); // a state just received from a source counts as confirmed
-        store.commit(
-                batch.put(STATE_KEY, newRevision.encode()).put(CONFIRMED_KEY, encodeInstant(now)));
+        batch.put(STATE_KEY, newRevision.encode());
+        if (confirmedAt != null) {
+            batch.put(CONFIRMED_KEY, encodeInstant(confirmedAt));
+        }
+        store.commit(batch);
         durableRevision = newRevision;
-        persistedConfirmationAt = now;
+        persistedConfirmationAt = confirmedAt;
     }
 
     private static void putOrDelete(Batch batch, Mutation mutation, long revision) {
--- a/relay/src/main/java/saltstage/configuration/follower/PersistedConfiguration.java
+++ b/relay/src/main/java/saltstage/configuration/follower/PersistedConfiguration.java
@@ -14,4 +14,20 @@
     public static PersistedConfiguration empty() {
         return new PersistedConfiguration(new ConfigurationView(), null);
     }
+
+    /**
+     * Whether this configuration replaces a view that was read from the same directory before: it
+     * is newer, or a snapshot has replaced a diverged state of the same revision.
+     */
+    boolean supersedes(ConfigurationView other) {
+        return view.revision() > other.revision()
+                || view.revision() == other.revision() && view.digest() != other.digest();
+    }
+
+    /** Whether a source has confirmed the same revision later than it had confirmed the other. */
+    boolean isConfirmedLaterThan(PersistedConfiguration other) {
+        return view.revision() == other.view().revision()
+                && confirmedAt != null
+                && (other.confirmedAt() == null || confirmedAt.isAfter(other.confirmedAt()));
+    }
 }
--- a/relay/src/main/java/saltstage/lifecycle/SharedConfiguration.java
+++ b/relay/src/main/java/saltstage/lifecycle/SharedConfiguration.java
@@ -13,8 +13,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadLocalRandom;
@@ -29,6 +29,7 @@
 import saltstage.configuration.Mutation;
 import saltstage.configuration.follower.ConfigurationClient;
 import saltstage.configuration.follower.ConfigurationDirectory;
+import saltstage.configuration.follower.ConfigurationStandby;
 import saltstage.configuration.follower.FollowerListener;
 import saltstage.configuration.follower.FollowerOptions;
 import saltstage.configuration.follower.FollowerResources;
@@ -41,8 +42,10 @@
 /**
  * The shared configuration, which this relay follows revision by revision. The persisted
  * configuration is in force at once; revisions from a source are applied once they are on disk.
- * Backends are handled like discovery's lists, and suspensions like those of operator calls. The
- * class is loaded only where the operator's settings name a source.
+ * While two processes of the relay share the directory, one of them follows the sources and writes,
+ * and the other applies what it reads from the directory. Backends are handled like discovery's
+ * lists, and suspensions like those of operator calls. The class is loaded only where the
+ * operator's settings name a source.
  */
 final class SharedConfiguration {
     /** Covers the connections to sources, the HTTP client's selector and the store's files. */
@@ -57,12 +60,17 @@
     private static final Duration STALE_CHECK_INTERVAL = Duration.ofSeconds(15);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+    /** How often a process that is not the writer looks at the directory. */
+    private static final Duration STANDBY_POLL_INTERVAL = Duration.ofMillis(100);
+
+    private final OperatorSettings.FollowerSettings followerSettings;
+    private final String relayName;
     private final ConfigurationDirectory directory;
-    private final ConfigurationClient client;
+    private final PersistedConfiguration initial;
     private final ScheduledExecutorService scheduler =
             Executors.newSingleThreadScheduledExecutor(daemonThreadFactory("configuration"));
-    private final ExecutorService writer =
-            Executors.newSingleThreadExecutor(daemonThreadFactory("configuration-store"));
+    private final ScheduledExecutorService writer =
+            Executors.newSingleThreadScheduledExecutor(daemonThreadFactory("configuration-store"));
     private final Suspensions suspensions;
     private final Consumer<BackendList> listListener;
     private final BackendEntries backends = new BackendEntries();
@@ -70,8 +78,15 @@
     private final Set<String> suspendedBackendIds = new TreeSet<>();
     private final Map<String, String> backendsByShard = new ConcurrentHashMap<>();
     private volatile Instant confirmedAt;
+    private volatile long appliedRevision;
     private boolean listDelivered;
 
+    /** Follows the sources; null while another process writes to the directory. */
+    private volatile ConfigurationClient client;
+
+    private volatile Future<?> standbyPolls;
+    private volatile boolean closing;
+
     private SharedConfiguration(
             OperatorSettings.FollowerSettings followerSettings,
             OperatorSettings.Logging logging,
@@ -79,29 +94,25 @@
             Suspensions suspensions,
             Consumer<BackendList> listListener)
             throws IOException {
+        this.followerSettings = followerSettings;
+        this.relayName = relayName;
         this.suspensions = suspensions;
         this.listListener = listListener;
         settings = new ConfiguredSettings(logging);
         directory = open(followerSettings.dir());
-        PersistedConfiguration persisted = directory.persistedConfiguration();
-        confirmedAt = persisted.confirmedAt();
-        replaceAll(persisted.view());
+        initial = directory.persistedConfiguration();
+        confirmedAt = initial.confirmedAt();
+        appliedRevision = initial.view().revision();
+        replaceAll(initial.view());
         listDelivered = !backends.isEmpty(); // the relay starts with this list
         Log.info(
                 "configuration.kept",
                 "rev",
-                persisted.view().revision(),
+                appliedRevision,
                 "entries",
-                persisted.view().entries().size(),
+                initial.view().entries().size(),
                 "age_ms",
                 ageMillis());
-        client =
-                new ConfigurationClient(
-                        options(followerSettings, relayName),
-                        resources(),
-                        directory,
-                        persisted.view(),
-                        new Listener());
     }
 
     /** Opens the directory and applies the persisted configuration; the client is not started. */
@@ -125,8 +136,7 @@
         }
     }
 
-    private static FollowerOptions options(
-            OperatorSettings.FollowerSettings followerSettings, String relayName) {
+    private FollowerOptions options() {
         List<URI> sources =
                 followerSettings.sources().stream().map(FollowerOptions::sourceUri).toList();
         String name = followerSettings.name().isEmpty() ? relayName : followerSettings.name();
@@ -157,7 +167,7 @@
     synchronized Optional<BackendList> knownList() {
         return backends.isEmpty()
                 ? Optional.empty()
-                : Optional.of(backends.fullList(client.revision()));
+                : Optional.of(backends.fullList(appliedRevision));
     }
 
     /**
@@ -168,9 +178,13 @@
         return Optional.ofNullable(backendsByShard.get(name));
     }
 
-    /** Starts to follow the sources. */
+    /** Starts to follow the sources, or the directory while another process writes to it. */
     void start() {
-        client.start();
+        if (directory.isWriter()) {
+            followSources(initial);
+        } else {
+            followDirectory();
+        }
         scheduler.scheduleWithFixedDelay(
                 this::warnIfStale,
                 STALE_CHECK_INTERVAL.toMillis(),
@@ -178,6 +192,37 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void stopStandby() {
+        Future<?> polls = standbyPolls;
+        if (polls != null) {
+            polls.cancel(false);
+        }
+    }
+
+    private void followSources(PersistedConfiguration inForce) {
+        if (closing) {
+            return;
+        }
+        client =
+                new ConfigurationClient(
+                        options(), resources(), directory, inForce.view(), new Listener());
+        client.start();
+    }
+
+    private void followDirectory() {
+        ConfigurationStandby standby =
+                new ConfigurationStandby(directory, initial, new StandbyListener());
+        standby.poll(); // what was written during the start is in force before the first client
+        if (client == null) {
+            standbyPolls =
+                    writer.scheduleWithFixedDelay(
+                            standby::poll,
+                            STANDBY_POLL_INTERVAL.toMillis(),
+                            STANDBY_POLL_INTERVAL.toMillis(),
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Replaces the logging settings of the operator's file, which was read again. */
     void useLogging(OperatorSettings.Logging logging) {
         settings.setFileSettings(logging);
@@ -185,7 +230,12 @@
 
     /** Stops following; waits up to the limit for a write that is under way. */
     void close(Duration limit) {
-        client.close();
+        closing = true;
+        stopStandby();
+        ConfigurationClient following = client;
+        if (following != null) {
+            following.close();
+        }
         scheduler.shutdownNow();
         writer.shutdown();
         try {
@@ -216,14 +266,20 @@
             Log.warn(
                     "configuration.stale",
                     "rev",
-                    client.revision(),
+                    appliedRevision,
                     "age_ms",
                     age,
                     "source",
-                    client.source());
+                    source());
         }
     }
 
+    /** The source that is followed, or the directory while another process writes to it. */
+    private Object source() {
+        ConfigurationClient following = client;
+        return following == null ? followerSettings.dir() : following.source();
+    }
+
     private synchronized void replaceAll(ConfigurationView view) {
         backends.clear();
         settings.clear();
@@ -273,8 +329,19 @@
         }
     }
 
-    private void revisionApplied(long revision) {
-        confirmedAt = Instant.now();
+    private void applyAll(ConfigurationView view) {
+        synchronized (this) {
+            replaceAll(view);
+            deliverList(
+                    listDelivered || !backends.isEmpty()
+                            ? backends.fullList(view.revision())
+                            : null);
+        }
+    }
+
+    private void revisionApplied(long revision, Instant confirmed) {
+        confirmedAt = confirmed;
+        appliedRevision = revision;
         Log.info("configuration.applied", "rev", revision, "age_ms", ageMillis());
     }
 
@@ -292,19 +359,13 @@
                 applySettingsAndSuspensions();
                 deliverList(listDelivered ? backends.changesSinceLast(revision) : null);
             }
-            revisionApplied(revision);
+            revisionApplied(revision, Instant.now());
         }
 
         @Override
         public void snapshotApplied(ConfigurationView view) {
-            synchronized (SharedConfiguration.this) {
-                replaceAll(view);
-                deliverList(
-                        listDelivered || !backends.isEmpty()
-                                ? backends.fullList(view.revision())
-                                : null);
-            }
-            revisionApplied(view.revision());
+            applyAll(view);
+            revisionApplied(view.revision(), Instant.now());
         }
 
         /**
@@ -313,7 +374,7 @@
          */
         @Override
         public void revisionConfirmed(long revision) {
-            confirmedAt = client.confirmedAt();
+            confirmedAt = Instant.now();
             synchronized (SharedConfiguration.this) {
                 if (!listDelivered && !backends.isEmpty()) {
                     deliverList(backends.fullList(revision));
@@ -323,7 +384,7 @@
 
         @Override
         public void sourceConnected(URI source) {
-            Log.info("configuration.source", "source", source, "rev", client.revision());
+            Log.info("configuration.source", "source", source, "rev", appliedRevision);
         }
 
         @Override
@@ -337,7 +398,7 @@
                     "why",
                     reason,
                     "rev",
-                    client.revision());
+                    appliedRevision);
         }
 
         @Override
@@ -350,4 +411,30 @@
             Log.error("configuration.fault", fault);
         }
     }
+
+    /** Applies what another process of the relay writes, until this one is the writer. */
+    private final class StandbyListener implements ConfigurationStandby.Listener {
+        @Override
+        public void configurationRead(PersistedConfiguration newer) {
+            applyAll(newer.view());
+            revisionApplied(newer.view().revision(), newer.confirmedAt());
+        }
+
+        @Override
+        public void confirmationRead(PersistedConfiguration inForce) {
+            confirmedAt = inForce.confirmedAt();
+        }
+
+        @Override
+        public void becameWriter(PersistedConfiguration inForce) {
+            Log.info("configuration.writer", "rev", inForce.view().revision());
+            followSources(inForce);
+            stopStandby();
+        }
+
+        @Override
+        public void pollFailed(String reason) {
+            Log.warn("configuration.unread", "why", reason);
+        }
+    }
 }
--- a/relay/src/main/java/saltstage/store/Store.java
+++ b/relay/src/main/java/saltstage/store/Store.java
@@ -99,6 +99,16 @@
         }
     }
 
+    /**
+     * Returns the last acknowledged sequence number of the store on this disk, or -1 if it cannot
+     * be told at this moment. It is cheap enough to watch a store that another process writes to.
+     */
+    public static long acknowledgedSeq(Disk disk) throws IOException {
+        try (Disk.File file = disk.open(AcknowledgedSeqFile.NAME, false)) {
+            return AcknowledgedSeqFile.readOfAnyStore(file);
+        }
+    }
+
     private void startMaintenanceThread() {
         if (state.options.backgroundMaintenance()) {
             maintenanceThread = new Thread(this::runMaintenance, "store");
