Replacement: the new process persists its state once the old one has left the store

What operators saw: after a replacement `store=LOST` until the next start; lists, learned state and accepted configurations were not written, and a restart without discovery began with the list of the process before.

Cause: RelayStateStore opened the store once, while the old process had it open, and took that for final. Evidence: `keep.lost why="the store is open in another process"`, and nothing after it. On the same path an older list could take the place of the old process's last one.

Change: a store that is open elsewhere is tried every 0.2 s until it can be opened; state stays pending meanwhile. A newer stored list stays. All other failures are final as before (the tests for them are unchanged).

--- a/relay/src/main/java/saltstage/persistence/RelayStateStore.java
+++ b/relay/src/main/java/saltstage/persistence/RelayStateStore.java
@@ -28,7 +28,8 @@
 /**
  * Persists the relay's state. Callers hand over new state without blocking, and one thread writes
  * it; of the backend list and the learned state only the newest is written. If the store fails, the
- * relay continues without it.
+ * relay continues without it. A store that another process of the relay has open is opened once
+ * that process has closed it; until then state stays pending.
  */
 public final class RelayStateStore {
     /** The state of the store, as it is logged with the totals. */
@@ -45,12 +46,17 @@
     private static final byte[] LEARNED_STATE_KEY = ConfigurationVersions.keyBytes("learnt");
     private static final Duration FULL_RETRY_PAUSE = Duration.ofSeconds(5);
 
+    /** How often a store is tried that another process has open. */
+    private static final Duration LOCKED_RETRY_PAUSE = Duration.ofMillis(200);
+
     private record AcceptedConfiguration(
             String configuration, String settings, Instant acceptedAt) {}
 
     private final PersistenceSettings settings;
     private final Supplier<Instant> clock;
+    private final DiskOpener diskOpener;
     private Store store;
+    private boolean openElsewhere;
     private State state = State.OK;
     private BackendList pendingList;
     private final List<AcceptedConfiguration> pendingConfigurations = new ArrayList<>();
@@ -59,9 +65,11 @@
     private boolean closing;
     private Thread writerThread;
 
-    private RelayStateStore(PersistenceSettings settings, Supplier<Instant> clock) {
+    private RelayStateStore(
+            PersistenceSettings settings, Supplier<Instant> clock, DiskOpener diskOpener) {
         this.settings = settings;
         this.clock = clock;
+        this.diskOpener = diskOpener;
     }
 
     /** Opens the store; if that fails, the failure is logged and later state is discarded. */
@@ -76,22 +84,27 @@
 
     static RelayStateStore open(
             PersistenceSettings settings, Supplier<Instant> clock, DiskOpener diskOpener) {
-        RelayStateStore stateStore = new RelayStateStore(settings, clock);
+        RelayStateStore stateStore = new RelayStateStore(settings, clock, diskOpener);
         try {
-            stateStore.store =
-                    Store.open(
-                            diskOpener.open(),
-                            new StoreOptions(
-                                    settings.segmentBytes(),
-                                    true,
-                                    settings.compactionBytesPerSecond()),
-                            Log::warn);
+            stateStore.openStore();
+        } catch (StoreException.Locked locked) {
+            stateStore.openElsewhere = true;
+            stateStore.markLost(locked);
         } catch (IOException | RuntimeException e) {
             stateStore.markLost(e);
         }
         return stateStore;
     }
 
+    private void openStore() throws IOException {
+        store =
+                Store.open(
+                        diskOpener.open(),
+                        new StoreOptions(
+                                settings.segmentBytes(), true, settings.compactionBytesPerSecond()),
+                        Log::warn);
+    }
+
     private synchronized void markLost(Exception cause) {
         if (state != State.LOST) {
             state = State.LOST;
@@ -196,7 +209,7 @@
     /** Starts the writer, which also saves the learned state at the interval of the settings. */
     public synchronized void start(Supplier<LearnedState> learnedState) {
         learnedStateSource = learnedState;
-        if (store != null) {
+        if (store != null || openElsewhere) {
             writerThread = new Thread(null, this::writeLoop, "keep", 256 << 10);
             writerThread.setDaemon(true);
             writerThread.start();
@@ -235,6 +248,9 @@
 
     private void writeLoop() {
         try {
+            if (openElsewhere && !awaitStore()) {
+                return; // closing
+            }
             boolean isLastRound = false;
             while (!isLastRound && state() != State.LOST) {
                 isLastRound = awaitWork();
@@ -251,7 +267,36 @@
         }
     }
 
+    /** Opens the store once the other process has closed it; returns false when closing. */
+    private boolean awaitStore() throws IOException, InterruptedException {
+        while (!awaitClosing(LOCKED_RETRY_PAUSE)) {
+            try {
+                openStore();
+            } catch (StoreException.Locked stillLocked) {
+                continue;
+            }
+            synchronized (this) {
+                state = State.OK;
+            }
+            Log.info("keep.opened", "dir", settings.dir());
+            return true;
+        }
+        return false;
+    }
+
+    private synchronized boolean awaitClosing(Duration limit) throws InterruptedException {
+        long deadlineNs = System.nanoTime() + limit.toNanos();
+        for (long restMillis = limit.toMillis(); !closing && restMillis > 0; ) {
+            wait(restMillis);
+            restMillis = (deadlineNs - System.nanoTime()) / 1_000_000;
+        }
+        return closing;
+    }
+
     private void closeStore() {
+        if (store == null) {
+            return;
+        }
         try {
             store.close();
         } catch (IOException e) {
@@ -310,7 +355,10 @@
         pendingConfigurations.subList(0, configurations).clear();
     }
 
-    /** Writes the differences from the stored list and the new revision in one batch. */
+    /**
+     * Writes the differences from the stored list and the new revision in one batch. A newer list,
+     * which another process of the relay has left, stays.
+     */
     private void writeList(BackendList newest) throws IOException {
         Map<String, byte[]> entriesToWrite = new HashMap<>();
         newest.entries()
@@ -322,7 +370,7 @@
         Batch batch = new Batch();
         try (Snapshot snapshot = store.snapshot()) {
             byte[] revision = snapshot.get(LIST_REVISION_KEY);
-            if (revision != null && RelayStateCodec.decodeNumber(revision) == newest.revision()) {
+            if (revision != null && RelayStateCodec.decodeNumber(revision) >= newest.revision()) {
                 return;
             }
             Snapshot.Scan scan = snapshot.scan(ENTRY_KEYS_START, ENTRY_KEYS_END);
--- a/relay/src/test/java/saltstage/persistence/RelayStateStoreTest.java
+++ b/relay/src/test/java/saltstage/persistence/RelayStateStoreTest.java
@@ -93,6 +93,29 @@
         assertEquals(list(8, "s2", "s4"), restored);
     }
 
+    /** Guards against a new process that persists nothing after a replacement. */
+    @Test
+    void aStoreThatAnotherProcessHasOpenIsUsedOnceThatHasClosedIt() throws Exception {
+        RelayStateStore old = open(NOON);
+        old.start(() -> learnedState(1));
+        RelayStateStore next = open(NOON);
+        assertEquals(RelayStateStore.State.LOST, next.state());
+        next.saveList(list(5, "s1"));
+        next.start(() -> learnedState(2));
+        old.close(Duration.ofSeconds(30));
+        await(() -> next.state() == RelayStateStore.State.OK);
+        next.close(Duration.ofSeconds(30));
+        assertEquals(list(5, "s1"), open(NOON).persistedList().orElseThrow());
+    }
+
+    /** Guards against an older list of the new process in place of the old one's last list. */
+    @Test
+    void aNewerListThatAnotherProcessHasLeftStays() {
+        persist(list(8, "s1", "s2"), learnedState(1));
+        persist(list(7, "s1"), learnedState(1));
+        assertEquals(list(8, "s1", "s2"), open(NOON).persistedList().orElseThrow());
+    }
+
     @Test
     void learnedStateAgesAndATurnedBackClockIsNotTrusted() {
         persist(list(5, "s1"), learnedState(11));
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -19,9 +19,13 @@
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
+import saltstage.persistence.ConfigurationVersions;
 import saltstage.process.ProcessSupervisor.Relay;
 import saltstage.process.RelayTestEnvironment.TestConnection;
 import saltstage.process.RelayTestEnvironment.TestServer;
+import saltstage.store.FileDisk;
+import saltstage.store.Store;
+import saltstage.store.StoreEventListener;
 
 /**
  * A relay process is replaced by another that inherits the clients' listening socket, which the
@@ -218,6 +222,30 @@
         assertTrue("nothing more was sent", backend.hasNoConnectionWithin(200));
     }
 
+    /**
+     * Guards against a new process that never persists state, as the old one had the store open.
+     */
+    @Test
+    public void newProcessPersistsItsStateOnceTheOldOneHasEnded() throws Exception {
+        Path directory = platform.directory.resolve("state");
+        Path settings = platform.directory.resolve("store.hcl");
+        Files.writeString(settings, "store {\n  dir = \"" + directory + "\"\n}\n");
+        furtherArguments = List.of("--settings", settings.toString());
+        Relay old = startReady("old");
+        Files.writeString(config, Files.readString(config) + "\n"); // a second version
+        Relay next = startReady("next");
+        assertTrue(next.hasLogged("keep.lost"));
+        ProcessSupervisor.signal(old.pid(), "TERM");
+        RelayTestEnvironment.await(
+                "the new process persists its configuration",
+                () -> next.hasLogged("keep.configuration version=2"));
+        platform.awaitEnd(old);
+        platform.kill(next);
+        try (Store store = Store.openToRead(new FileDisk(directory), StoreEventListener.NONE)) {
+            assertEquals(2, ConfigurationVersions.all(store).size());
+        }
+    }
+
     /** Sends a request until its answer is not that an earlier one with its id is still ending. */
     private String awaitAnswer(String id) throws Exception {
         String answer = environment.sendOpen(id, 2_000).readLine();
