SharedConfigurationUpgradeTest: the silent source is one that only the new process has

The test silenced the one source of both processes and relied on a request of the old one being pending there; revision 1 is logged before that request is sent, so it could meet the silence. The new process has a source of its own now, which never answers; the checks are as they were.

--- a/relay/src/test/java/saltstage/process/SharedConfigurationUpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/SharedConfigurationUpgradeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertTrue;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -48,14 +49,19 @@
         Files.writeString(
                 config, environment.config(4096, RelayTestEnvironment.backendList(1, true)));
         settings = platform.directory.resolve("saltstage.hcl");
+        writeSettings(source);
+        view.accept(backend("s-1", first, BackendState.READY), ready("s-2", second));
+    }
+
+    /** Writes the settings for the relays started from now on. */
+    private void writeSettings(ScriptedSource followed) throws IOException {
         Files.writeString(
                 settings,
                 "configuration {\n  sources = [\""
-                        + source.address()
+                        + followed.address()
                         + "\"]\n  zone = \"a\"\n  dir = \""
                         + platform.directory.resolve("configuration")
                         + "\"\n}\n");
-        view.accept(backend("s-1", first, BackendState.READY), ready("s-2", second));
     }
 
     @After
@@ -145,13 +151,16 @@
     @Test
     public void newProcessFollowsTheDirectoryWhileItsSourcesAreSilent() throws Exception {
         Relay old = startWithConfiguration("old");
-        // The old process's request is pending and will be answered, later ones will not.
-        source.setScript((query, out) -> Thread.sleep(RelayTestEnvironment.AWAIT_TIMEOUT_MS));
-        startReady("next");
-        tell(old, draining("s-1", first));
-        ProcessSupervisor.stop(old.pid());
-        Thread.sleep(DRAIN_GRACE_MS);
-        assertAllClientsGoTo(second);
+        ScriptedSource.Script silence =
+                (query, out) -> Thread.sleep(RelayTestEnvironment.AWAIT_TIMEOUT_MS);
+        try (ScriptedSource silentSource = new ScriptedSource(silence)) {
+            writeSettings(silentSource);
+            startReady("next");
+            tell(old, draining("s-1", first));
+            ProcessSupervisor.stop(old.pid());
+            Thread.sleep(DRAIN_GRACE_MS);
+            assertAllClientsGoTo(second);
+        }
     }
 
     /** Guards against a confirmed revision that is lost when both processes are killed. */
