Replacement: a drain that discovery tells one process binds the other

What callers saw: with two processes of a relay at work and discovery answering only one of them, the other sent new clients to the drained backend past the grace, for as long as its own calls stayed unanswered.

Cause: the new process read the other's list once, at its start, and the old one never did. Evidence: discovery.list rev=2 in one log only.

Change: while both run, each reads the takeover file every 200 ms and applies a newer list from there, under the subscription's lock, so that a list of a call under way that is older cannot replace it; whoever has a newer list than the file writes it at once. takeover.list names each.

--- a/relay/src/main/java/saltstage/lifecycle/DiscoverySubscription.java
+++ b/relay/src/main/java/saltstage/lifecycle/DiscoverySubscription.java
@@ -161,6 +161,15 @@
         handle(calls -> calls.listArrived(id, list, heldRevision.getAsLong()));
     }
 
+    /**
+     * Delivers a list that the relay's other process has received, if it is newer than the held.
+     */
+    synchronized void listReceivedByOtherProcess(BackendList list) {
+        if (list.revision() > heldRevision.getAsLong()) {
+            listener.accept(list);
+        }
+    }
+
     private void callEnded(long id, String reason) {
         handle(
                 calls -> {
--- a/relay/src/main/java/saltstage/lifecycle/RelayOperations.java
+++ b/relay/src/main/java/saltstage/lifecycle/RelayOperations.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import saltstage.admin.OperatorService;
 import saltstage.handover.AtomicFile;
 import saltstage.handover.ProcessSlots;
@@ -44,6 +45,7 @@
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
     private static final int POLLS_PER_TAKEOVER_WRITE = 5;
+    private static final long NO_REVISION = -1;
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(700);
     private static final int MAX_QUEUED_CALLS = 64;
     private static final Duration MAX_TAKEOVER_AGE = Duration.ofSeconds(30);
@@ -55,6 +57,7 @@
     private final Suspensions suspensions;
     private final ProcessSlots slots;
     private final AtomicFile takeoverFile;
+    private final Consumer<BackendList> otherProcessListListener;
     private final Set<String> knownBackendIds = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<Runnable> queuedCalls = new LinkedBlockingQueue<>(MAX_QUEUED_CALLS);
     private volatile Set<String> ejectedBackendIds = Set.of();
@@ -65,7 +68,7 @@
 
     /**
      * {@code slots} and {@code takeoverPath} are null where no process takes over from another that
-     * still runs.
+     * still runs; {@code otherProcessListListener} receives the newer lists of the other process.
      */
     RelayOperations(
             MonotonicClock clock,
@@ -74,7 +77,8 @@
             RequestCounters counters,
             Suspensions suspensions,
             ProcessSlots slots,
-            Path takeoverPath) {
+            Path takeoverPath,
+            Consumer<BackendList> otherProcessListListener) {
         this.clock = clock;
         this.backends = backends;
         this.pipeline = pipeline;
@@ -83,6 +87,7 @@
         this.slots = slots;
         this.takeoverFile =
                 takeoverPath == null ? null : new AtomicFile(takeoverPath, "takeover 1");
+        this.otherProcessListListener = otherProcessListListener;
     }
 
     @Override
@@ -215,21 +220,39 @@
         }
         try {
             pipeline.setDescriptorLimit(slots.updateDescriptorBudget(pipeline.descriptorsInUse()));
-            if (++polls % POLLS_PER_TAKEOVER_WRITE == 0 && notReadyReason == null) {
-                Instant now = clock.now();
-                takeoverFile.write(
-                        new Takeover(
-                                        backends.toBackendList(),
-                                        now,
-                                        pipeline.router().learnedState(),
-                                        knownBackendIds)
-                                .toBytes());
+            boolean isWriteDue = ++polls % POLLS_PER_TAKEOVER_WRITE == 0 && notReadyReason == null;
+            if (isWriteDue || slots.hasOtherProcess() && !exchangeList()) {
+                writeTakeover();
             }
         } catch (IOException failure) {
             Log.warn("handover.fault", "why", failure.getMessage());
         }
     }
 
+    /**
+     * Applies the list in the takeover file if it is newer than this process's.
+     *
+     * @return false if the file has an older list than this process, which the other one must learn
+     */
+    private boolean exchangeList() {
+        Takeover takeover = readTakeover();
+        long otherRevision = takeover == null ? NO_REVISION : takeover.list().revision();
+        if (otherRevision > backends.revision()) {
+            otherProcessListListener.accept(takeover.list());
+        }
+        return otherRevision >= backends.revision();
+    }
+
+    private void writeTakeover() throws IOException {
+        Takeover takeover =
+                new Takeover(
+                        backends.toBackendList(),
+                        clock.now(),
+                        pipeline.router().learnedState(),
+                        knownBackendIds);
+        takeoverFile.write(takeover.toBytes());
+    }
+
     /** Reports each backend whose suspension began or ended to the load balancer. */
     private synchronized void applySuspensions() {
         Set<String> current = suspensions.all();
--- a/relay/src/main/java/saltstage/lifecycle/RelayServer.java
+++ b/relay/src/main/java/saltstage/lifecycle/RelayServer.java
@@ -114,7 +114,7 @@
                         !config.settings().watchesBackendList(),
                         timers,
                         backends::revision,
-                        this::backendListReceived,
+                        this::discoveryListReceived,
                         pipeline.router()::discoveryCallFailed);
         sharedConfiguration =
                 operatorSettings.follower().isEmpty()
@@ -136,9 +136,8 @@
                 counters,
                 suspensions,
                 handoverFolder == null ? null : claimSlot(handoverFolder),
-                handoverFolder == null
-                        ? null
-                        : handoverFolder.resolve(config.name() + ".takeover"));
+                handoverFolder == null ? null : handoverFolder.resolve(config.name() + ".takeover"),
+                this::otherProcessListReceived);
     }
 
     /** Another process of this relay, or a later one, must know the ids that this one has used. */
@@ -453,6 +452,19 @@
         }
     }
 
+    private void discoveryListReceived(BackendList list) {
+        backendListReceived(list);
+        firstListReceived.countDown();
+    }
+
+    /** What discovery tells one process of this relay binds both. */
+    private void otherProcessListReceived(BackendList list) {
+        if (sharedConfiguration == null) { // else both have their lists from its directory
+            Log.info("takeover.list", "rev", list.revision(), "held", backends.revision());
+            subscription.listReceivedByOtherProcess(list);
+        }
+    }
+
     private void backendListReceived(BackendList list) {
         operations.backendListReceived(list);
         pipeline.backendListReceived(backends.update(list), list);
@@ -460,6 +472,5 @@
         if (stateStore != null && sharedConfiguration == null) {
             stateStore.saveList(backends.toBackendList());
         }
-        firstListReceived.countDown();
     }
 }
--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -40,6 +40,9 @@
         0, 0, 0, 17, 2, 0, 0, 0, 0, 0x53, 0x10, (byte) 0xc0, 4, 1, (byte) 0xa1, 1, 'x'
     };
 
+    /** How long after a change a relay may send new requests to a backend that drains. */
+    private static final int DRAIN_GRACE_MS = 1_000;
+
     private RelayTestEnvironment environment;
     private ProcessSupervisor platform;
     private TestServer backend;
@@ -246,6 +249,81 @@
         }
     }
 
+    /**
+     * Guards against new requests to a backend whose drain discovery has told the other process.
+     */
+    @Test
+    public void drainThatDiscoveryTellsOnlyTheOldProcessBindsTheNewOne() throws Exception {
+        TestServer remaining = environment.startBackend();
+        try (TestServer silentDiscovery = new TestServer()) {
+            Relay old = startWithTwoBackends("old", environment.discovery, remaining);
+            startWithTwoBackends("next", silentDiscovery, remaining);
+            tellDrain(old, remaining);
+            ProcessSupervisor.stop(old.pid()); // so that the new process accepts
+            assertAllClientsGoTo(remaining);
+        }
+    }
+
+    /** Guards against the same in the other direction, while the old process still accepts. */
+    @Test
+    public void drainThatDiscoveryTellsOnlyTheNewProcessBindsTheOldOne() throws Exception {
+        TestServer remaining = environment.startBackend();
+        try (TestServer silentDiscovery = new TestServer()) {
+            startWithTwoBackends("old", silentDiscovery, remaining);
+            Relay next = startWithTwoBackends("next", environment.discovery, remaining);
+            tellDrain(next, remaining);
+            ProcessSupervisor.stop(next.pid()); // so that the old process accepts
+            assertAllClientsGoTo(remaining);
+        }
+    }
+
+    /** Guards against new requests from one process to a backend suspended at the other. */
+    @Test
+    public void suspensionByACallToTheOldProcessBindsTheNewOne() throws Exception {
+        TestServer remaining = environment.startBackend();
+        Relay old = startWithTwoBackends("old", environment.discovery, remaining);
+        startWithTwoBackends("next", environment.discovery, remaining);
+        assertEquals("done suspended\n", environment.operatorCall(old.admin(), "SUSPEND s-1"));
+        Thread.sleep(DRAIN_GRACE_MS);
+        ProcessSupervisor.stop(old.pid()); // so that the new process accepts
+        assertAllClientsGoTo(remaining);
+    }
+
+    /** Starts a process that knows the backends s-1 and s-2 and asks this discovery. */
+    private Relay startWithTwoBackends(String name, TestServer discovery, TestServer second)
+            throws Exception {
+        Files.writeString(
+                config, environment.config(4096, discovery, twoBackends(1, "ready", second)));
+        return startReady(name);
+    }
+
+    private String twoBackends(int revision, String stateOfFirst, TestServer second) {
+        return RelayTestEnvironment.backendList(
+                revision,
+                true,
+                RelayTestEnvironment.backendEntry("s-1", backend.endpoint(), stateOfFirst),
+                RelayTestEnvironment.backendEntry("s-2", second.endpoint(), "ready"));
+    }
+
+    /** Tells the process that s-1 drains; returns when that has become binding. */
+    private void tellDrain(Relay relay, TestServer second) throws Exception {
+        environment.answerWatch(twoBackends(2, "draining", second));
+        RelayTestEnvironment.await(
+                "the process is told", () -> relay.hasLogged("discovery.list rev=2"));
+        Thread.sleep(DRAIN_GRACE_MS);
+    }
+
+    /** With this many keys, each of two backends in use would get at least one client. */
+    private void assertAllClientsGoTo(TestServer expected) throws Exception {
+        for (int i = 0; i < 8; i++) {
+            environment.establish(
+                    expected,
+                    environment
+                            .connectClient()
+                            .sendLine("OPEN d" + i + " key" + i + " c=chat,t=acme,d=20000"));
+        }
+    }
+
     /** Sends a request until its answer is not that an earlier one with its id is still ending. */
     private String awaitAnswer(String id) throws Exception {
         String answer = environment.sendOpen(id, 2_000).readLine();
