Test: no confirmed revision is lost when both processes are killed while changes arrive

The old process of a replacement is killed within a stream of changes, at a seeded count, then the new one. What either had confirmed to the source is in force at the next start, with no source, and the new process never goes back.

--- a/relay/src/test/java/saltstage/process/SharedConfigurationUpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/SharedConfigurationUpgradeTest.java
@@ -1,11 +1,14 @@
 package saltstage.process;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -26,6 +29,9 @@
     private static final int DRAIN_GRACE_MS = 1_000;
 
     private static final int CLIENTS = 8;
+    private static final long KILL_SEED = 20261207;
+    private static final int MIN_CHANGES = 100;
+    private static final int CHANGE_INTERVAL_MS = 5;
 
     private final ServedView view = new ServedView();
     private RelayTestEnvironment environment;
@@ -177,6 +183,66 @@
         assertAllClientsGoTo(second);
     }
 
+    /** Guards against a confirmed revision that is lost when a kill interrupts its writes. */
+    @Test
+    public void noConfirmedRevisionIsLostWhenBothAreKilledWhileChangesArrive() throws Exception {
+        AtomicLong confirmedRevision = new AtomicLong();
+        source.setScript(
+                (query, out) -> {
+                    long after = Long.parseLong(query.get("after"));
+                    confirmedRevision.accumulateAndGet(after, Math::max);
+                    view.respond(query, out);
+                });
+        Relay old = startWithConfiguration("old");
+        Relay next = startReady("next");
+        Random random = new Random(KILL_SEED);
+        int changesUntilKill = MIN_CHANGES + random.nextInt(MIN_CHANGES);
+        for (int i = 0; i < changesUntilKill; i++) {
+            acceptSetting(i);
+        }
+        platform.kill(old);
+        for (int i = 0; i < changesUntilKill; i++) {
+            acceptSetting(i);
+        }
+        long newest = acceptSetting(changesUntilKill);
+        RelayTestEnvironment.await( // the log leaves out lines of an event that are too many
+                "the new process confirms the newest revision",
+                () -> confirmedRevision.get() >= newest);
+        for (int i = 0; i < changesUntilKill; i++) {
+            acceptSetting(i);
+        }
+        platform.kill(next);
+        source.close();
+        Relay last = startReady("last");
+        assertTrue(confirmedRevision.get() > changesUntilKill);
+        assertTrue(
+                "revision " + confirmedRevision + " was confirmed",
+                keptRevision(last) >= confirmedRevision.get());
+        List<Long> applied = appliedRevisions(next);
+        assertEquals("never back", applied.stream().sorted().distinct().toList(), applied);
+    }
+
+    private long acceptSetting(int value) throws InterruptedException {
+        Thread.sleep(CHANGE_INTERVAL_MS);
+        return view.accept(TestMutations.setting("pool.size", Integer.toString(value))).revision();
+    }
+
+    private static long keptRevision(Relay relay) throws IOException {
+        return revisionsIn(relay, "configuration.kept").get(0);
+    }
+
+    private static List<Long> appliedRevisions(Relay relay) throws IOException {
+        return revisionsIn(relay, "configuration.applied");
+    }
+
+    /** Returns the revision of each log line of this event, in order. */
+    private static List<Long> revisionsIn(Relay relay, String event) throws IOException {
+        return Files.readAllLines(relay.log()).stream()
+                .filter(line -> line.contains(event + " rev="))
+                .map(line -> Long.parseLong(line.replaceAll(".* rev=(\\d+) .*", "$1")))
+                .toList();
+    }
+
     /** Guards against a new process that does not persist what it confirms after the old one. */
     @Test
     public void newProcessPersistsWhatItConfirmsOnceTheOldOneIsKilled() throws Exception {
