Split what the shared configuration has in force from how it is followed

No change of behaviour; ConfigurationTest, SharedConfigurationUpgradeTest and PackagesTest pass unchanged.

--- a/relay/src/main/java/saltstage/lifecycle/SharedConfiguration.java
+++ b/relay/src/main/java/saltstage/lifecycle/SharedConfiguration.java
@@ -8,11 +8,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,9 +20,6 @@
 import saltstage.config.OperatorSettings;
 import saltstage.configuration.Change;
 import saltstage.configuration.ConfigurationView;
-import saltstage.configuration.EntryKey;
-import saltstage.configuration.EntryValue;
-import saltstage.configuration.Mutation;
 import saltstage.configuration.follower.ConfigurationClient;
 import saltstage.configuration.follower.ConfigurationDirectory;
 import saltstage.configuration.follower.ConfigurationStandby;
@@ -43,8 +36,7 @@
  * The shared configuration, which this relay follows revision by revision. The persisted
  * configuration is in force at once; revisions from a source are applied once they are on disk.
  * While two processes of the relay share the directory, one of them follows the sources and writes,
- * and the other applies what it reads from the directory. Backends are handled like discovery's
- * lists, and suspensions like those of operator calls. The class is loaded only where the
+ * and the other applies what it reads from the directory. The class is loaded only where the
  * operator's settings name a source.
  */
 final class SharedConfiguration {
@@ -71,15 +63,9 @@
             Executors.newSingleThreadScheduledExecutor(daemonThreadFactory("configuration"));
     private final ScheduledExecutorService writer =
             Executors.newSingleThreadScheduledExecutor(daemonThreadFactory("configuration-store"));
-    private final Suspensions suspensions;
-    private final Consumer<BackendList> listListener;
-    private final BackendEntries backends = new BackendEntries();
-    private final ConfiguredSettings settings;
-    private final Set<String> suspendedBackendIds = new TreeSet<>();
-    private final Map<String, String> backendsByShard = new ConcurrentHashMap<>();
+    private final AppliedConfiguration applied;
     private volatile Instant confirmedAt;
     private volatile long appliedRevision;
-    private boolean listDelivered;
 
     /** Follows the sources; null while another process writes to the directory. */
     private volatile ConfigurationClient client;
@@ -96,15 +82,11 @@
             throws IOException {
         this.followerSettings = followerSettings;
         this.relayName = relayName;
-        this.suspensions = suspensions;
-        this.listListener = listListener;
-        settings = new ConfiguredSettings(logging);
         directory = open(followerSettings.dir());
         initial = directory.persistedConfiguration();
         confirmedAt = initial.confirmedAt();
         appliedRevision = initial.view().revision();
-        replaceAll(initial.view());
-        listDelivered = !backends.isEmpty(); // the relay starts with this list
+        applied = new AppliedConfiguration(initial.view(), logging, suspensions, listListener);
         Log.info(
                 "configuration.kept",
                 "rev",
@@ -164,10 +146,8 @@
     }
 
     /** Returns the persisted list of backends, or empty if it names none. */
-    synchronized Optional<BackendList> knownList() {
-        return backends.isEmpty()
-                ? Optional.empty()
-                : Optional.of(backends.fullList(appliedRevision));
+    Optional<BackendList> knownList() {
+        return applied.list(appliedRevision);
     }
 
     /**
@@ -175,7 +155,7 @@
      * as "topic-7/3".
      */
     Optional<String> backendOfShard(String name) {
-        return Optional.ofNullable(backendsByShard.get(name));
+        return applied.backendOfShard(name);
     }
 
     /** Starts to follow the sources, or the directory while another process writes to it. */
@@ -225,7 +205,7 @@
 
     /** Replaces the logging settings of the operator's file, which was read again. */
     void useLogging(OperatorSettings.Logging logging) {
-        settings.setFileSettings(logging);
+        applied.useLogging(logging);
     }
 
     /** Stops following; waits up to the limit for a write that is under way. */
@@ -280,65 +260,6 @@
         return following == null ? followerSettings.dir() : following.source();
     }
 
-    private synchronized void replaceAll(ConfigurationView view) {
-        backends.clear();
-        settings.clear();
-        suspendedBackendIds.clear();
-        backendsByShard.clear();
-        view.entries().forEach((key, entry) -> applyEntry(key, entry.value()));
-        applySettingsAndSuspensions();
-    }
-
-    private void applyEntry(EntryKey key, EntryValue value) {
-        String name = key.name();
-        switch (key.kind()) {
-            case BACKEND -> backends.set(name, (EntryValue.Backend) value);
-            case SETTING ->
-                    settings.set(name, value == null ? null : ((EntryValue.Setting) value).text());
-            case SUSPENSION -> setSuspended(name, value != null);
-            case SHARD -> setShard(name, (EntryValue.Shard) value);
-        }
-    }
-
-    private void setSuspended(String backendId, boolean suspend) {
-        if (suspend) {
-            suspendedBackendIds.add(backendId);
-        } else {
-            suspendedBackendIds.remove(backendId);
-        }
-    }
-
-    private void setShard(String shard, EntryValue.Shard value) {
-        if (value == null) {
-            backendsByShard.remove(shard);
-        } else {
-            backendsByShard.put(shard, value.backend());
-        }
-    }
-
-    private void applySettingsAndSuspensions() {
-        settings.apply();
-        // Applied before the list, as a new backend may be suspended from its first moment.
-        suspensions.setSuspendedByConfiguration(suspendedBackendIds);
-    }
-
-    private void deliverList(BackendList list) {
-        if (list != null) {
-            listDelivered = true;
-            listListener.accept(list);
-        }
-    }
-
-    private void applyAll(ConfigurationView view) {
-        synchronized (this) {
-            replaceAll(view);
-            deliverList(
-                    listDelivered || !backends.isEmpty()
-                            ? backends.fullList(view.revision())
-                            : null);
-        }
-    }
-
     private void revisionApplied(long revision, Instant confirmed) {
         confirmedAt = confirmed;
         appliedRevision = revision;
@@ -350,36 +271,20 @@
         @Override
         public void changesApplied(List<Change> changes) {
             long revision = changes.get(changes.size() - 1).revision();
-            synchronized (SharedConfiguration.this) {
-                for (Change change : changes) {
-                    for (Mutation mutation : change.mutations()) {
-                        applyEntry(mutation.key(), mutation.value());
-                    }
-                }
-                applySettingsAndSuspensions();
-                deliverList(listDelivered ? backends.changesSinceLast(revision) : null);
-            }
+            applied.apply(changes, revision);
             revisionApplied(revision, Instant.now());
         }
 
         @Override
         public void snapshotApplied(ConfigurationView view) {
-            applyAll(view);
+            applied.replace(view);
             revisionApplied(view.revision(), Instant.now());
         }
 
-        /**
-         * Delivers the first list. The platform's list stays in force until a source has confirmed
-         * the whole configuration and it names a backend.
-         */
         @Override
         public void revisionConfirmed(long revision) {
             confirmedAt = Instant.now();
-            synchronized (SharedConfiguration.this) {
-                if (!listDelivered && !backends.isEmpty()) {
-                    deliverList(backends.fullList(revision));
-                }
-            }
+            applied.deliverFirstList(revision);
         }
 
         @Override
@@ -416,7 +321,7 @@
     private final class StandbyListener implements ConfigurationStandby.Listener {
         @Override
         public void configurationRead(PersistedConfiguration newer) {
-            applyAll(newer.view());
+            applied.replace(newer.view());
             revisionApplied(newer.view().revision(), newer.confirmedAt());
         }
 
