UpgradeTest: discovery answers each call until the process has heard one

A process gives up calls that are not answered; on a slow machine the first one in the queue could be one of those, and the test would then wait for a list that nobody reads.

--- a/relay/src/test/java/saltstage/process/UpgradeTest.java
+++ b/relay/src/test/java/saltstage/process/UpgradeTest.java
@@ -43,6 +43,9 @@
     /** How long after a change a relay may send new requests to a backend that drains. */
     private static final int DRAIN_GRACE_MS = 1_000;
 
+    private static final int MAX_ANSWERED_CALLS = 20;
+    private static final int ANSWER_PAUSE_MS = 100;
+
     private RelayTestEnvironment environment;
     private ProcessSupervisor platform;
     private TestServer backend;
@@ -305,14 +308,24 @@
                 RelayTestEnvironment.backendEntry("s-2", second.endpoint(), "ready"));
     }
 
-    /** Tells the process that s-1 drains; returns when that has become binding. */
+    /**
+     * Tells the process that s-1 drains; returns when that has become binding. The process may have
+     * given up the calls that came first, so each call is answered until it has heard one.
+     */
     private void tellDrain(Relay relay, TestServer second) throws Exception {
-        environment.answerWatch(twoBackends(2, "draining", second));
-        RelayTestEnvironment.await(
-                "the process is told", () -> relay.hasLogged("discovery.list rev=2"));
+        String list = twoBackends(2, "draining", second);
+        for (int calls = 0; calls < MAX_ANSWERED_CALLS && !isTold(relay); calls++) {
+            environment.answerWatch(list);
+            Thread.sleep(ANSWER_PAUSE_MS);
+        }
+        RelayTestEnvironment.await("the process is told", () -> isTold(relay));
         Thread.sleep(DRAIN_GRACE_MS);
     }
 
+    private static boolean isTold(Relay relay) {
+        return relay.hasLogged("discovery.list rev=2");
+    }
+
     /** With this many keys, each of two backends in use would get at least one client. */
     private void assertAllClientsGoTo(TestServer expected) throws Exception {
         for (int i = 0; i < 8; i++) {
