Standby: a fault while a revision is applied no longer blocks the takeover

A standby that had taken the lock and met an exception while it applied what the directory held tried to take the lock again at the next look, found it taken, by itself, and stayed without sources for good. Found by reading. tryBecomeWriter answers with the open store now. The new test of ConfigurationStandbyTest failed before (expected writer 7, was nothing) and passes.

--- a/relay/src/main/java/saltstage/configuration/follower/ConfigurationDirectory.java
+++ b/relay/src/main/java/saltstage/configuration/follower/ConfigurationDirectory.java
@@ -85,6 +85,9 @@
      */
     public synchronized Optional<PersistedConfiguration> tryBecomeWriter(
             PersistedConfiguration inForce) throws IOException {
+        if (store != null) {
+            return Optional.of(store.persistedConfiguration());
+        }
         PersistedConfiguration onDisk;
         try {
             onDisk = openStore();
--- a/relay/src/test/java/saltstage/configuration/follower/ConfigurationStandbyTest.java
+++ b/relay/src/test/java/saltstage/configuration/follower/ConfigurationStandbyTest.java
@@ -29,12 +29,16 @@
     private ConfigurationDirectory writer;
     private ConfigurationDirectory follower;
     private ConfigurationStandby standby;
+    private boolean failsToApply;
 
     private final ConfigurationStandby.Listener listener =
             new ConfigurationStandby.Listener() {
                 @Override
                 public void configurationRead(PersistedConfiguration newer) {
                     reported.add("read " + newer.view().revision());
+                    if (failsToApply) {
+                        throw new IllegalStateException("not applied");
+                    }
                 }
 
                 @Override
@@ -105,6 +109,17 @@
         assertEquals(8, persistedRevision());
     }
 
+    @Test
+    void aFaultWhileTheLastRevisionIsAppliedDoesNotKeepTheRoleFromBeingTaken() throws IOException {
+        write(6, 7);
+        writer.close();
+        failsToApply = true;
+        pollAndExpect("read 7", "failed");
+        pollAndExpect("writer 7");
+        follower.write(history.changesResponse(8, 8).changes());
+        assertEquals(8, persistedRevision());
+    }
+
     @Test
     void aDirectoryThatLostTheRevisionInForceIsGivenItAgain() throws IOException {
         write(6, 7);
